--- /dev/null
+++ b/include/thymewall/succession.h
@@ -0,0 +1,42 @@
+/// \file
+/// The statement by which a balancer that stops on purpose names, once and for
+/// all, which processes answer for its flows afterwards.
+#ifndef THYMEWALL_SUCCESSION_H
+#define THYMEWALL_SUCCESSION_H
+
+#include "thymewall/flow-table.h"
+
+#include <vector>
+
+namespace thymewall {
+
+struct Successor {
+  Endpoint Data_;
+  Incarnation Incarnation_{};
+};
+inline bool operator==(const Successor &A, const Successor &B) {
+  return A.Data_ == B.Data_ && A.Incarnation_ == B.Incarnation_;
+}
+
+/// The process `Home_` hands on no request after it has made this statement,
+/// and every request that it handed on before has a deadline at or before
+/// `Fence_`. A successor may therefore run a request of the old home whose
+/// deadline is later: nobody has run it.
+struct Succession {
+  Incarnation Home_{};
+  WallTime Fence_{};
+  std::vector<Successor> Successors_; ///< Not empty.
+};
+inline bool operator==(const Succession &A, const Succession &B) {
+  return A.Home_ == B.Home_ && A.Fence_ == B.Fence_ &&
+         A.Successors_ == B.Successors_;
+}
+
+/// The one process that answers for a flow of the old home.
+inline const Successor &successorOf(const Succession &S, const FlowKey &Flow) {
+  return S.Successors_[FlowRow::hash(Flow) % S.Successors_.size()];
+}
+
+} // namespace thymewall
+
+#endif
--- /dev/null
+++ b/include/thymewall/upstream-table.h
@@ -0,0 +1,96 @@
+/// \file
+/// What a balancer knows of each upstream, which upstreams take new flows of a
+/// service now, and the hooks that choose among them.
+#ifndef THYMEWALL_UPSTREAM_TABLE_H
+#define THYMEWALL_UPSTREAM_TABLE_H
+
+#include "thymewall/declaration.h"
+#include "thymewall/flow-table.h"
+
+#include <unordered_map>
+
+namespace thymewall {
+
+/// One upstream. Rows are never removed while the process lives, so an index
+/// stays valid; an upstream that is declared no longer only stops being
+/// eligible.
+struct UpstreamRow {
+  UpstreamId Id_{};
+  Endpoint At_;
+  Incarnation Incarnation_{}; ///< As last seen in its own datagrams.
+  std::uint32_t Slots_ = 1;
+  std::uint32_t OwnFlows_ = 0;      ///< Flows whose home is this balancer.
+  std::uint32_t InFlight_ = 0;      ///< Requests sent by this balancer.
+  std::uint32_t ReportedFlows_ = 0; ///< Its own count, as last reported.
+  std::uint32_t Failures_ = 0;      ///< In a row.
+  MonoTime EjectedUntil_{};
+  MonoTime WarmAt_{}; ///< End of its cold start.
+  bool Declared_ = false;
+  bool Leaving_ = false; ///< The host list says so.
+  bool Remembers_ = false;
+};
+
+/// What a chooser sees. It returns an index into `Eligible_`, which is not
+/// empty.
+struct Choice {
+  FlowKey Flow_;
+  const std::vector<std::uint32_t> &Eligible_;
+  const std::vector<UpstreamRow> &Rows_;
+  MonoTime Now_;
+};
+using Chooser = std::function<std::size_t(const Choice &)>;
+
+/// The first candidate by weighted rendezvous hashing, whatever its load.
+std::size_t choosePlainHash(const Choice &C);
+/// The less loaded of two candidates, by this balancer's own flows per slot.
+std::size_t chooseTwoOwn(const Choice &C);
+/// The less loaded of two candidates, by the upstreams' own reports.
+std::size_t chooseTwoReported(const Choice &C);
+
+/// The two best of `Eligible_` by rendezvous hashing weighted by slots
+/// (Thaler and Ravishankar 1998); both are 0 when there is just one.
+std::pair<std::size_t, std::size_t> candidates(const Choice &C);
+
+class UpstreamTable {
+public:
+  /// Ramp of a cold upstream, ejection time and the failures that lead to it.
+  static constexpr Micros ColdStart = std::chrono::seconds(5);
+  static constexpr Micros Ejection = std::chrono::seconds(2);
+  static constexpr std::uint32_t FailuresToEject = 3;
+
+  void declare(const Declaration &D, MonoTime Now);
+  void setLeaving(UpstreamId Id, bool Leaving);
+  /// Notes the incarnation that a datagram of an upstream or a route showed.
+  void seen(std::uint32_t Index, Incarnation Seen, MonoTime Now);
+  /// Adds an upstream that a route names and no declaration does any more.
+  std::uint32_t adopt(UpstreamId Id, const Endpoint &At);
+  void succeeded(std::uint32_t Index);
+  /// Counts a failure; after some in a row the upstream is ejected until
+  /// \p Now plus an ejection time spread by \p Jitter (0 to 1).
+  void failed(std::uint32_t Index, MonoTime Now, double Jitter);
+  /// Forgets every ejection and failure (after a late wake).
+  void forgetBeliefs();
+
+  /// Takes the ejected out of \p Selected, but never more than half of it.
+  void eligibleNow(const std::vector<std::uint32_t> &Selected, MonoTime Now,
+                   std::vector<std::uint32_t> &Into) const;
+
+  static constexpr std::uint32_t None = ~0U;
+  std::uint32_t byId(UpstreamId Id) const;
+  std::uint32_t byEndpoint(const Endpoint &At) const;
+  UpstreamRow &operator[](std::uint32_t Index) { return Rows_[Index]; }
+  const std::vector<UpstreamRow> &rows() const { return Rows_; }
+
+private:
+  struct EndpointHash {
+    std::size_t operator()(const Endpoint &At) const;
+  };
+  std::vector<UpstreamRow> Rows_;
+  std::unordered_map<std::uint32_t, std::uint32_t> ById_;
+  std::unordered_map<Endpoint, std::uint32_t, EndpointHash> ByEndpoint_;
+  bool Started_ = false;
+};
+
+} // namespace thymewall
+
+#endif
--- /dev/null
+++ b/src/balancer-home.cc
@@ -0,0 +1,238 @@
+#include "balancer-impl.h"
+
+#include <algorithm>
+
+namespace thymewall {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Ticks of one second.
+constexpr std::uint32_t FlowIdleTicks = 3600;
+/// A closed flow's numbers are kept until no copy of a request can come any
+/// more: the longest deadline (60 s), clock slack and some.
+constexpr std::uint32_t ClosedFlowTicks = 70;
+constexpr Micros ClockSlack = 1s;
+constexpr std::uint32_t PassTryTicks = 5; ///< 25 ms.
+constexpr std::uint8_t MaxPassTries = 4;
+
+} // namespace
+
+/// Makes this process the home of a flow under a new epoch; null when the
+/// table is full.
+FlowRow *Balancer::Impl::becomeHome(const FlowKey &Key,
+                                    std::uint32_t Upstream) {
+  FlowRow Row;
+  Row.Flow_ = Key.Flow_;
+  Row.Service_ = Key.Service_;
+  Row.Upstream_ = Upstream;
+  Row.Epoch_ = ++Epochs_;
+  FlowRow *Placed = Flows_.insert(Row, flowTick(Now_.Mono_) + FlowIdleTicks);
+  if (Placed)
+    ++Upstreams_[Upstream].OwnFlows_;
+  return Placed;
+}
+
+void Balancer::Impl::touch(FlowRow &Row) {
+  if (Row.Upstream_ != UpstreamTable::None)
+    Flows_.rearm(Row, flowTick(Now_.Mono_) + FlowIdleTicks);
+}
+
+/// Takes a flow off its upstream's count. Its numbers stay for a while.
+void Balancer::Impl::closeRow(FlowRow &Row) {
+  forgetFlow(Row);
+  Row.Upstream_ = UpstreamTable::None;
+  Flows_.rearm(Row, flowTick(Now_.Mono_) + ClosedFlowTicks);
+}
+
+void Balancer::Impl::forgetFlow(FlowRow &Row) {
+  if (Row.Upstream_ == UpstreamTable::None)
+    return;
+  std::uint32_t &Count = Upstreams_[Row.Upstream_].OwnFlows_;
+  Count -= Count == 0 ? 0 : 1;
+}
+
+SealedRoute Balancer::Impl::routeOf(const FlowRow &Row,
+                                    Incarnation Upstream) const {
+  const UpstreamRow &U = Upstreams_.rows()[Row.Upstream_];
+  Route R;
+  R.Service_ = Row.Service_;
+  R.Flow_ = Row.Flow_;
+  R.Upstream_ = U.Id_;
+  R.UpstreamAt_ = U.At_;
+  R.UpstreamIncarnation_ = Upstream;
+  R.Placed_ = Declaration_ ? Declaration_->Version_ : 0;
+  R.HomeAt_ = Options_.Data_;
+  R.Home_ = Options_.Incarnation_;
+  R.Epoch_ = Row.Epoch_;
+  return seal(R, Options_.Keys_[0]);
+}
+
+/// A request that may not be repeated, at the process that its route calls
+/// home. Only here is such a request handed to an upstream.
+void Balancer::Impl::submit(const Message &M, const Route &R) {
+  FlowRow *Row = Flows_.find({M.Service_, M.Flow_});
+  if (!Row || Row->Epoch_ != R.Epoch_)
+    return rehome(M, R, ErrorKind::NumberUsed);
+  submitToRow(*Row, M, R, Origin::Own);
+}
+
+/// True once this process has named its successors: from then on they alone
+/// hand requests on, and only they can say what was not run.
+bool Balancer::Impl::stoppedHandingOn() const {
+  return !StopBySuccessors_.Successors_.empty();
+}
+
+void Balancer::Impl::submitToRow(FlowRow &Row, const Message &M, const Route &R,
+                                 Origin From) {
+  if (Requests_.find({M.Service_, M.Request_, M.Flow_}))
+    return; // a copy; the first one will be answered
+  WallTime Furthest = Now_.Wall_ + LongestDeadlineSeen_ + ClockSlack;
+  if (M.Deadline_ > Furthest)
+    return refuse(M, ErrorKind::DeadlineTooFar, Answer::OutcomeUnknown);
+  std::uint32_t Index = Row.Upstream_;
+  bool Closed = Index == UpstreamTable::None;
+  bool Used = Row.numberUsed(M.Request_);
+  bool Replays = !Closed && Upstreams_[Index].Remembers_;
+  if (Used && !Replays)
+    return refuse(M, ErrorKind::NumberUsed, Answer::OutcomeUnknown);
+  Row.useNumber(M.Request_);
+  touch(Row);
+  bool Only = !Used && From != Origin::Replayed;
+  if (Only && From == Origin::Own && stoppedHandingOn())
+    return delegate(M, R);
+  Answer Bound = Only ? Answer::NotRun : Answer::OutcomeUnknown;
+  if (Closed || holder(R) != Index)
+    return refuse(M, ErrorKind::FlowUnknown, Bound);
+  if (M.Deadline_ != WallTime{} && M.Deadline_ <= Now_.Wall_)
+    return refuse(M, ErrorKind::DeadlinePassed, Bound);
+  const ServiceState *S = serviceState(M.Service_);
+  if (!S)
+    return refuse(M, ErrorKind::UnknownService, Bound);
+  Message Out = M;
+  Out.Epoch_ = hashPair(raw(M.Flow_), M.Request_);
+  Handing How{true, Only, From != Origin::Own};
+  if (overloaded(*S, Upstreams_[Index]) || !handOn(Out, R, Index, How))
+    refuse(M, ErrorKind::Overloaded, Bound);
+}
+
+/// Sends a request on to its home and keeps it until the home has confirmed it.
+/// From here on this balancer can't know whether it was run.
+void Balancer::Impl::pass(const Message &M, const Route &R,
+                          const Endpoint &Home, PeerKind Kind) {
+  RequestKey Key{M.Service_, M.Request_, M.Flow_};
+  if (Passes_.find(Key))
+    return;
+  bool Suspect = std::find(SuspectHomes_.begin(), SuspectHomes_.end(), Home) !=
+                 SuspectHomes_.end();
+  if (Suspect)
+    return rehome(M, R, ErrorKind::HomeUnreachable);
+  PassRow Row;
+  Row.Key_ = Key;
+  Row.Home_ = Home;
+  Row.Kind_ = Kind;
+  Row.Tries_ = 1;
+  Row.store(M);
+  if (!Passes_.insert(Row, requestTick(Now_.Mono_) + PassTryTicks))
+    return refuse(M, ErrorKind::Overloaded, Answer::OutcomeUnknown);
+  toPeer(Home, Kind, M);
+}
+
+void Balancer::Impl::expirePasses() {
+  std::uint32_t Tick = requestTick(Now_.Mono_);
+  Passes_.expire(Tick, [this, Tick](PassRow &Row) {
+    if (Row.Tries_ == MaxPassTries) {
+      SuspectHomes_.push_back(Row.Home_);
+      return givePassUp(Row, ErrorKind::HomeUnreachable);
+    }
+    ++Row.Tries_;
+    Passes_.rearm(Row, Tick + PassTryTicks);
+    toPeer(Row.Home_, Row.Kind_, Row.message());
+  });
+}
+
+void Balancer::Impl::givePassUp(PassRow &Row, ErrorKind Why) {
+  Message M = Row.message();
+  Route R;
+  if (thymewall::open(M.Route_, Options_.Keys_, M.Service_, M.Flow_, R) ==
+      ErrorKind::None)
+    rehome(M, R, Why);
+}
+
+/// The old home is gone, or its memory of the flow is: nobody can say whether
+/// the request was run. The flow goes on with this process as its home. An
+/// upstream that remembers requests is asked again; it runs none twice.
+void Balancer::Impl::rehome(const Message &M, const Route &R, ErrorKind Why) {
+  FlowKey Key{M.Service_, M.Flow_};
+  FlowRow *Row = Flows_.find(Key);
+  std::uint32_t Index = holder(R);
+  bool Gone = Index == UpstreamTable::None;
+  if (!Row && !Gone && !Stopping_) {
+    Row = becomeHome(Key, Index);
+    ++Counters_.Rehomed_;
+  }
+  if (!Row || Row->Upstream_ == UpstreamTable::None)
+    return refuse(M, Why, Answer::OutcomeUnknown);
+  if (Row->Upstream_ == Index && Upstreams_[Index].Remembers_)
+    return submitToRow(*Row, M, R, Origin::Replayed);
+  Row->useNumber(M.Request_);
+  SealedRoute Sealed = routeOf(*Row, R.UpstreamIncarnation_);
+  refuse(M, Why, Answer::OutcomeUnknown, Sealed.bytes());
+}
+
+void Balancer::Impl::on(const FromPeer &E) {
+  const Message &M = E.Datagram_.Inner_;
+  PassRow *Row = Passes_.find({M.Service_, M.Request_, M.Flow_});
+  switch (E.Datagram_.Kind_) {
+  case PeerKind::Pass:
+  case PeerKind::Delegate:
+    return onPassed(M, E.From_, E.Datagram_.Kind_);
+  case PeerKind::Taken:
+    if (Row && Row->Home_ == E.From_)
+      Passes_.erase(*Row);
+    return;
+  case PeerKind::NotHome:
+    if (Row && Row->Home_ == E.From_) {
+      givePassUp(*Row, ErrorKind::HomeUnreachable);
+      Passes_.erase(*Row);
+    }
+    return;
+  }
+}
+
+void Balancer::Impl::onPassed(const Message &M, const Endpoint &From,
+                              PeerKind Kind) {
+  if (M.Kind_ == Kind::Open)
+    return openFlow(M, false);
+  Route R;
+  ErrorKind Why =
+      thymewall::open(M.Route_, Options_.Keys_, M.Service_, M.Flow_, R);
+  if (Why != ErrorKind::None)
+    return drop(Why);
+  if (M.Kind_ == Kind::Close) {
+    FlowRow *Row = Flows_.find({M.Service_, M.Flow_});
+    if (isHome(R) && Row && Row->Epoch_ == R.Epoch_)
+      closeRow(*Row);
+    return;
+  }
+  if (M.Kind_ != Kind::Request || M.repeatable())
+    return drop(ErrorKind::Malformed);
+  bool Delegated = Kind == PeerKind::Delegate;
+  const Succession *S = successionOf(R);
+  bool Mine = S && successorOf(*S, {M.Service_, M.Flow_}).Incarnation_ ==
+                       Options_.Incarnation_;
+  bool Adopts = Delegated || (Mine && mayAdopt(M, R));
+  Message Receipt;
+  Receipt.Service_ = M.Service_;
+  Receipt.Flow_ = M.Flow_;
+  Receipt.Request_ = M.Request_;
+  bool Accepts = isHome(R) || Adopts;
+  toPeer(From, Accepts ? PeerKind::Taken : PeerKind::NotHome, Receipt);
+  if (isHome(R))
+    return submit(M, R);
+  if (Adopts)
+    adopt(M, R);
+}
+
+} // namespace thymewall
--- /dev/null
+++ b/src/balancer-process.cc
@@ -0,0 +1,376 @@
+#include "balancer-process.h"
+
+#include "control-plane.h"
+#include "platform-client.h"
+#include "status-server.h"
+#include "thymewall/balancer.h"
+#include "thymewall/log.h"
+#include "thymewall/metrics.h"
+#include "thymewall/zone.h"
+#include "udp-socket.h"
+
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <csignal>
+#include <map>
+#include <random>
+#include <xxhash.h>
+
+namespace thymewall::detail {
+
+namespace {
+
+constexpr auto WatchReviewEvery = std::chrono::seconds(1);
+
+Moment now() {
+  auto Mono = std::chrono::steady_clock::now().time_since_epoch();
+  auto Wall = std::chrono::system_clock::now().time_since_epoch();
+  return {MonoTime(std::chrono::duration_cast<Micros>(Mono)),
+          WallTime(std::chrono::duration_cast<Micros>(Wall))};
+}
+
+std::uint64_t randomNumber() {
+  std::random_device Device;
+  return std::uint64_t{Device()} << 32 | Device();
+}
+
+Balancer makeCore(const Settings &S, Incarnation Self, DelayHook OnDelay) {
+  return BalancerBuilder()
+      .name(S.Name_)
+      .dataAddress(S.Data_)
+      .incarnation(Self)
+      .seed(randomNumber())
+      .keys(S.Keys_)
+      .zones(zoneClock())
+      .onDelay(std::move(OnDelay))
+      .build();
+}
+
+const char *className(RequestClass Class) {
+  switch (Class) {
+  case RequestClass::Open:
+    return "open";
+  case RequestClass::Repeatable:
+    return "repeatable";
+  case RequestClass::Once:
+    return "once";
+  }
+  return "";
+}
+
+} // namespace
+
+class BalancerProcess::Impl {
+public:
+  Impl(asio::io_context &Context, const Settings &Configured);
+
+private:
+  using Received = void (Impl::*)(const Endpoint &, const std::uint8_t *,
+                                  std::size_t);
+  UdpSocket::Receiver receiver(Received Function);
+  void fromUpstream(const Endpoint &From, const std::uint8_t *Data,
+                    std::size_t Size);
+  void fromPeer(const Endpoint &From, const std::uint8_t *Data,
+                std::size_t Size);
+  void fromCaller(ServiceId Service, const Endpoint &From,
+                  const std::uint8_t *Data, std::size_t Size);
+  void give(const Event &What) { Core_.handle(now(), What, Sink_); }
+
+  // Actions of the core, one overload each.
+  void act(const ToCaller &A);
+  void act(const ToUpstream &A);
+  void act(const ToPeer &A);
+  void act(const InForce &A);
+  void act(const RereadSources &A);
+  void act(const TellSuccession &A);
+  void act(const Stopped &A);
+
+  void onPlatform(const PlatformAnswer &Answer);
+  void onDocument(DocumentKind Kind, const std::string &Text,
+                  const std::string &Source);
+  void onDeclaration(const std::string &Text, const std::string &Source);
+  void onHosts(const std::string &Text, const std::string &Source);
+  ControlHooks controlHooks();
+  void tick();
+  void reviewWatching();
+  StatusReport report();
+  std::string tenant(ServiceId Id) const;
+
+  asio::io_context &Context_;
+  Settings Settings_;
+  Incarnation Self_;
+  ActionSink Sink_;
+  DelayMetrics Delays_;
+  Balancer Core_;
+  UdpSocket Upstream_;
+  UdpSocket Peers_;
+  std::map<ServiceId, std::unique_ptr<UdpSocket>> Services_;
+  ControlPlane Control_;
+  PlatformClient Platform_;
+  asio::steady_timer TickTimer_;
+  asio::steady_timer WatchTimer_;
+  asio::signal_set Signals_;
+  DeclarationPtr Declaration_;
+  HostListPtr Hosts_;
+  std::uint64_t Undecoded_ = 0;
+  StatusServer Status_;
+};
+
+BalancerProcess::Impl::Impl(asio::io_context &Context,
+                            const Settings &Configured)
+    : Context_(Context), Settings_(Configured),
+      Self_(static_cast<Incarnation>(randomNumber())),
+      Sink_([this](const Action &A) {
+        std::visit([this](const auto &Typed) { act(Typed); }, A);
+      }),
+      Core_(makeCore(Settings_, Self_,
+                     [this](ServiceId S, RequestClass C, Micros Delay) {
+                       Delays_.record(tenant(S), className(C), Delay);
+                     })),
+      Upstream_(Context, Settings_.Upstream_, receiver(&Impl::fromUpstream)),
+      Peers_(Context, Settings_.Data_, receiver(&Impl::fromPeer)),
+      Control_(Context, Settings_, Self_, controlHooks()),
+      Platform_(Context, Settings_.Platform_,
+                [this](const PlatformAnswer &A) { onPlatform(A); }),
+      TickTimer_(Context), WatchTimer_(Context),
+      Signals_(Context, SIGTERM, SIGINT),
+      Status_(Context, Settings_.Status_, [this] { return report(); }) {
+  Signals_.async_wait([this](const asio::error_code &Error, int) {
+    if (Error)
+      return;
+    logState("stopping", {});
+    Control_.setLeaving();
+    give(StopAsked{});
+  });
+  logState("started", {{"data", formatEndpoint(Settings_.Data_)},
+                       {"incarnation", std::to_string(raw(Self_))}});
+  tick();
+  reviewWatching();
+}
+
+UdpSocket::Receiver BalancerProcess::Impl::receiver(Received Function) {
+  return [this, Function](const Endpoint &From, const std::uint8_t *Data,
+                          std::size_t Size) {
+    (this->*Function)(From, Data, Size);
+  };
+}
+
+void BalancerProcess::Impl::fromUpstream(const Endpoint &From,
+                                         const std::uint8_t *Data,
+                                         std::size_t Size) {
+  FromUpstream E{From, {}};
+  if (decode(Data, Size, E.Message_) == ErrorKind::None)
+    return give(E);
+  ++Undecoded_;
+}
+
+void BalancerProcess::Impl::fromPeer(const Endpoint &From,
+                                     const std::uint8_t *Data,
+                                     std::size_t Size) {
+  FromPeer E{From, {}};
+  if (decodePeer(Data, Size, Settings_.Keys_, E.Datagram_) == ErrorKind::None)
+    return give(E);
+  ++Undecoded_;
+}
+
+void BalancerProcess::Impl::fromCaller(ServiceId Service, const Endpoint &From,
+                                       const std::uint8_t *Data,
+                                       std::size_t Size) {
+  FromCaller E{From, {}, Size};
+  if (decode(Data, Size, E.Message_) != ErrorKind::None) {
+    ++Undecoded_;
+    return;
+  }
+  E.Message_.Service_ = Service;
+  give(E);
+}
+
+void BalancerProcess::Impl::act(const ToCaller &A) {
+  auto Known = Services_.find(A.Message_.Service_);
+  if (Known == Services_.end())
+    return;
+  std::uint8_t Buffer[MaxDatagram + MaxHeader];
+  std::size_t Size = encode(A.Message_, Buffer, sizeof Buffer);
+  if (Size != 0)
+    Known->second->send(A.To_, Buffer, Size);
+}
+
+void BalancerProcess::Impl::act(const ToUpstream &A) {
+  std::uint8_t Buffer[MaxDatagram + MaxHeader];
+  std::size_t Size = encode(A.Message_, Buffer, sizeof Buffer);
+  if (Size != 0)
+    Upstream_.send(A.To_, Buffer, Size);
+}
+
+void BalancerProcess::Impl::act(const ToPeer &A) {
+  std::uint8_t Buffer[MaxDatagram + 2 * MaxHeader];
+  std::size_t Size =
+      encodePeer(A.Datagram_, Settings_.Keys_[0], Buffer, sizeof Buffer);
+  if (Size != 0)
+    Peers_.send(A.To_, Buffer, Size);
+}
+
+void BalancerProcess::Impl::act(const InForce &A) {
+  Declaration_ = A.Declaration_;
+  for (const Service &S : Declaration_->Services_) {
+    if (Services_.count(S.Id_) != 0)
+      continue;
+    Endpoint Local = Settings_.Callers_;
+    Local.Port_ = S.Port_;
+    ServiceId Id = S.Id_;
+    try {
+      Services_[Id] = std::make_unique<UdpSocket>(
+          Context_, Local,
+          [this, Id](const Endpoint &From, const std::uint8_t *Data,
+                     std::size_t Size) { fromCaller(Id, From, Data, Size); });
+    } catch (const std::system_error &Error) {
+      logState("service_socket_failed",
+               {{"service", S.Name_}, {"reason", Error.what()}});
+    }
+  }
+  Platform_.setKnown(DocumentKind::Declaration, Declaration_->Version_);
+  Control_.setDocument(DocumentKind::Declaration,
+                       {Declaration_->Version_, Declaration_->Digest_},
+                       Declaration_->Text_);
+  logState("declaration_in_force",
+           {{"version", std::to_string(Declaration_->Version_)}});
+}
+
+void BalancerProcess::Impl::act(const RereadSources &) {
+  logState("late_wake", {});
+  Platform_.readNow();
+}
+
+void BalancerProcess::Impl::act(const TellSuccession &A) {
+  Control_.tell(A.Succession_);
+}
+
+void BalancerProcess::Impl::act(const Stopped &) {
+  logState("stopped", {});
+  Context_.stop();
+}
+
+void BalancerProcess::Impl::onPlatform(const PlatformAnswer &Answer) {
+  if (Answer.Text_.empty()) {
+    if (Answer.Kind_ == DocumentKind::Declaration)
+      give(SourceConfirmed{});
+    return;
+  }
+  onDocument(Answer.Kind_, Answer.Text_, "platform");
+}
+
+void BalancerProcess::Impl::onDocument(DocumentKind Kind,
+                                       const std::string &Text,
+                                       const std::string &Source) {
+  if (Kind == DocumentKind::Declaration)
+    return onDeclaration(Text, Source);
+  onHosts(Text, Source);
+}
+
+void BalancerProcess::Impl::onDeclaration(const std::string &Text,
+                                          const std::string &Source) {
+  auto Refused = [](const Problems &Found) {
+    logState("declaration_refused", {{"count", std::to_string(Found.size())},
+                                     {"first", format(Found.front())}});
+  };
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(Read, parseDeclaration(Text, Source, zoneClock()));
+        give(DeclarationRead{Read});
+        return {};
+      },
+      Refused, [] { logState("declaration_refused", {}); });
+}
+
+void BalancerProcess::Impl::onHosts(const std::string &Text,
+                                    const std::string &Source) {
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(Read, parseHostList(Text, Source));
+        if (Hosts_ && Read->Version_ <= Hosts_->Version_)
+          return {};
+        Hosts_ = Read;
+        give(HostListRead{Read});
+        Platform_.setKnown(DocumentKind::Hosts, Read->Version_);
+        Control_.setHosts(Read);
+        Control_.setDocument(
+            DocumentKind::Hosts,
+            {Read->Version_, XXH64(Text.data(), Text.size(), 0)}, Text);
+        return {};
+      },
+      [](const Problems &Found) {
+        logState("host_list_refused", {{"first", format(Found.front())}});
+      },
+      [] { logState("host_list_refused", {}); });
+}
+
+ControlHooks BalancerProcess::Impl::controlHooks() {
+  ControlHooks Hooks;
+  Hooks.OnHeartbeat_ = [this](const Heartbeat &M) {
+    give(PeerSeen{static_cast<BalancerId>(nameId(M.Name_)), M.Data_,
+                  M.Incarnation_, M.Leaving_});
+  };
+  Hooks.OnDocument_ = [this](DocumentKind Kind, const std::string &Text) {
+    onDocument(Kind, Text, "peer");
+  };
+  Hooks.OnSuccession_ = [this](const Succession &S) {
+    give(SuccessionRead{S});
+  };
+  Hooks.OnConfirmed_ = [this] { give(SourceConfirmed{}); };
+  return Hooks;
+}
+
+void BalancerProcess::Impl::tick() {
+  give(Tick{});
+  TickTimer_.expires_after(Balancer::TickEvery);
+  TickTimer_.async_wait([this](const asio::error_code &Error) {
+    if (!Error)
+      tick();
+  });
+}
+
+/// A few balancers of each data hall watch the platform; the others hear of
+/// changes from their peers.
+void BalancerProcess::Impl::reviewWatching() {
+  bool Watching =
+      !Hosts_ ||
+      watchesPlatform(*Hosts_, Settings_.Name_, Settings_.DataHall_,
+                      Settings_.WatchersPerHall_, Control_.silentPeers());
+  Platform_.setWatching(Watching);
+  WatchTimer_.expires_after(WatchReviewEvery);
+  WatchTimer_.async_wait([this](const asio::error_code &Error) {
+    if (!Error)
+      reviewWatching();
+  });
+}
+
+StatusReport BalancerProcess::Impl::report() {
+  ControlCounters Control = Control_.counters();
+  StatusReport R;
+  R.Name_ = Settings_.Name_;
+  R.Status_ = Core_.status();
+  R.Counters_ = Core_.counters();
+  R.Delays_ = &Delays_;
+  R.Declaration_ = Declaration_;
+  R.Numbers_ = {{"control_bytes_sent", Control.BytesSent_},
+                {"control_bytes_received", Control.BytesReceived_},
+                {"control_messages_sent", Control.MessagesSent_},
+                {"control_messages_refused", Control.MessagesRefused_},
+                {"control_links", Control.Links_},
+                {"platform_calls", Platform_.calls()},
+                {"datagrams_undecoded", Undecoded_}};
+  return R;
+}
+
+std::string BalancerProcess::Impl::tenant(ServiceId Id) const {
+  const Service *Known = Declaration_ ? Declaration_->service(Id) : nullptr;
+  return Known ? Known->Name_ : "unknown";
+}
+
+BalancerProcess::BalancerProcess(asio::io_context &Context,
+                                 const Settings &Configured)
+    : Impl_(std::make_unique<Impl>(Context, Configured)) {}
+BalancerProcess::~BalancerProcess() = default;
+
+} // namespace thymewall::detail
--- /dev/null
+++ b/src/balancer-process.h
@@ -0,0 +1,25 @@
+/// \file
+/// The balancer's process: sockets, timers and threads around the core.
+#ifndef THYMEWALL_SRC_BALANCER_PROCESS_H
+#define THYMEWALL_SRC_BALANCER_PROCESS_H
+
+#include "thymewall/settings.h"
+
+#include <asio/io_context.hpp>
+#include <memory>
+
+namespace thymewall::detail {
+
+class BalancerProcess {
+public:
+  BalancerProcess(asio::io_context &Context, const Settings &Configured);
+  ~BalancerProcess();
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace thymewall::detail
+
+#endif
--- /dev/null
+++ b/src/balancer.cc
@@ -0,0 +1,282 @@
+#include "balancer-impl.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace thymewall {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Micros RequestTickLength = 5ms;
+constexpr Micros FlowTickLength = 1s;
+/// A woken process that no source answers goes on with its old intent then.
+constexpr Micros TrustOldIntentAfter = 3s;
+constexpr Micros SuspectFor = 1s;
+constexpr Micros PeerFreshFor = 5s;
+constexpr std::size_t MaxSuccessions = 4096;
+
+} // namespace
+
+Balancer::Impl::Impl(BalancerOptions Options)
+    : Options_(std::move(Options)), Random_(Options_.Seed_),
+      Flows_(Options_.FlowBound_), Requests_(Options_.RequestBound_),
+      Passes_(Options_.PassBound_) {}
+
+void Balancer::Impl::handle(const Moment &Now, const Event &What,
+                            const ActionSink &Sink) {
+  if (Started_ == MonoTime{}) {
+    Started_ = Now.Mono_;
+    NextTickBy_ = Now.Mono_ + TickEvery;
+  }
+  Now_ = Now;
+  Sink_ = &Sink;
+  noticeLateWake();
+  std::visit([this](const auto &E) { on(E); }, What);
+  Sink_ = nullptr;
+}
+
+/// Every event checks the clock, because the first one after a pause may be a
+/// datagram that has waited in a socket since before it.
+void Balancer::Impl::noticeLateWake() {
+  if (Now_.Mono_ < NextTickBy_ + LateAfter)
+    return;
+  NextTickBy_ = Now_.Mono_ + TickEvery;
+  ++Counters_.LateWakes_;
+  Fresh_ = false;
+  TrustOldIntentAt_ = Now_.Mono_ + TrustOldIntentAfter;
+  Upstreams_.forgetBeliefs();
+  Peers_.clear();
+  SuspectHomes_.clear();
+  NextSelectAt_ = {};
+  (*Sink_)(RereadSources{});
+}
+
+bool Balancer::Impl::ready() const {
+  return Declaration_ != nullptr && (Fresh_ || Now_.Mono_ >= TrustOldIntentAt_);
+}
+
+ServiceState *Balancer::Impl::serviceState(ServiceId Id) {
+  for (ServiceState &S : Services_)
+    if (S.Service_.Id_ == Id)
+      return &S;
+  return nullptr;
+}
+
+std::uint32_t Balancer::Impl::requestTick(MonoTime When) const {
+  return static_cast<std::uint32_t>((When - Started_) / RequestTickLength);
+}
+
+std::uint32_t Balancer::Impl::flowTick(MonoTime When) const {
+  return static_cast<std::uint32_t>((When - Started_) / FlowTickLength);
+}
+
+std::uint32_t Balancer::Impl::requestDue(WallTime Deadline) const {
+  Micros Left = std::max(Deadline - Now_.Wall_, Micros{0});
+  return requestTick(Now_.Mono_ + Left) + 1;
+}
+
+/// A number from 0 to 1.
+double Balancer::Impl::draw() {
+  return std::generate_canonical<double, 32>(Random_);
+}
+
+std::uint64_t Balancer::Impl::nextAttempt() {
+  return hashPair(raw(Options_.Incarnation_), ++Attempts_);
+}
+
+void Balancer::Impl::on(const DeclarationRead &E) {
+  Fresh_ = true;
+  if (Declaration_ && !supersedes(*E.Declaration_, *Declaration_))
+    return;
+  Declaration_ = E.Declaration_;
+  Upstreams_.declare(*Declaration_, Now_.Mono_);
+  std::vector<ServiceState> Old;
+  Old.swap(Services_);
+  for (const Service &S : Declaration_->Services_) {
+    Services_.push_back({S, {}, 0});
+    LongestDeadlineSeen_ = std::max(LongestDeadlineSeen_, S.DeadlineAfter_);
+    for (const ServiceState &Before : Old)
+      if (Before.Service_.Id_ == S.Id_)
+        Services_.back().RetryTokens_ = Before.RetryTokens_;
+  }
+  applyHostList();
+  select();
+  (*Sink_)(InForce{Declaration_});
+}
+
+void Balancer::Impl::on(const SourceConfirmed &) { Fresh_ = true; }
+
+void Balancer::Impl::on(const HostListRead &E) {
+  if (HostList_ && E.HostList_->Version_ <= HostList_->Version_)
+    return;
+  HostList_ = E.HostList_;
+  applyHostList();
+}
+
+void Balancer::Impl::applyHostList() {
+  if (!HostList_)
+    return;
+  for (const Host &H : HostList_->Hosts_)
+    if (H.Role_ == Host::Role::Upstream)
+      Upstreams_.setLeaving(static_cast<UpstreamId>(nameId(H.Name_)),
+                            H.Leaving_);
+}
+
+void Balancer::Impl::on(const PeerSeen &E) {
+  Peer Seen{E.Id_, E.Data_, E.Incarnation_, E.Leaving_,
+            Now_.Mono_ + PeerFreshFor};
+  for (Peer &P : Peers_)
+    if (P.Id_ == E.Id_) {
+      P = Seen;
+      return;
+    }
+  Peers_.push_back(Seen);
+}
+
+void Balancer::Impl::on(const SuccessionRead &E) {
+  if (E.Succession_.Successors_.empty())
+    return;
+  for (const Succession &S : Successions_)
+    if (S.Home_ == E.Succession_.Home_)
+      return;
+  if (Successions_.size() == MaxSuccessions)
+    Successions_.erase(Successions_.begin());
+  Successions_.push_back(E.Succession_);
+}
+
+/// Works out which upstreams each service has at this minute.
+void Balancer::Impl::select() {
+  constexpr Micros Minute = 60s;
+  NextSelectAt_ =
+      WallTime((Now_.Wall_.time_since_epoch() / Minute + 1) * Minute);
+  for (std::size_t I = 0; I < Services_.size(); ++I) {
+    ServiceState &S = Services_[I];
+    S.Selected_.clear();
+    for (std::size_t Index : eligible(*Declaration_, Declaration_->Services_[I],
+                                      Options_.Zones_, Now_.Wall_))
+      S.Selected_.push_back(
+          Upstreams_.byId(Declaration_->Upstreams_[Index].Id_));
+  }
+}
+
+void Balancer::Impl::on(const Tick &) {
+  NextTickBy_ = Now_.Mono_ + TickEvery;
+  bool MinuteOver =
+      Now_.Wall_ >= NextSelectAt_ || Now_.Wall_ + 2min < NextSelectAt_;
+  if (Declaration_ && MinuteOver)
+    select();
+  if (Now_.Mono_ >= ClearSuspectsAt_) {
+    SuspectHomes_.clear();
+    ClearSuspectsAt_ = Now_.Mono_ + SuspectFor;
+  }
+  Peers_.erase(std::remove_if(Peers_.begin(), Peers_.end(),
+                              [this](const Peer &P) {
+                                return P.FreshUntil_ < Now_.Mono_;
+                              }),
+               Peers_.end());
+  expirePasses();
+  expireRequests();
+  expireFlows();
+  if (Stopping_)
+    checkStopped();
+}
+
+/// A request without its final answer at its deadline is given up; an open is
+/// tried at another upstream first.
+void Balancer::Impl::expireRequests() {
+  Requests_.expire(requestTick(Now_.Mono_), [this](RequestRow &Row) {
+    Upstreams_.failed(Row.Upstream_, Now_.Mono_, draw());
+    if (Row.Key_.Number_ == 0) {
+      retryOpen(Row, ErrorKind::NoAnswer);
+      return;
+    }
+    Message Cancel;
+    Cancel.Kind_ = Kind::Cancel;
+    Cancel.Service_ = Row.Key_.Service_;
+    Cancel.Flow_ = Row.Key_.Flow_;
+    Cancel.Request_ = Row.Key_.Number_;
+    Cancel.Attempt_ = Row.Attempt_;
+    Cancel.Caller_ = Row.Caller_;
+    toUpstream(Upstreams_[Row.Upstream_].At_, Cancel);
+    --Upstreams_[Row.Upstream_].InFlight_;
+    refuseRow(Row, ErrorKind::NoAnswer, Answer::OutcomeUnknown);
+  });
+}
+
+void Balancer::Impl::expireFlows() {
+  Flows_.expire(flowTick(Now_.Mono_),
+                [this](FlowRow &Row) { forgetFlow(Row); });
+}
+
+Status Balancer::Impl::status() const {
+  Status S;
+  S.InForce_ = Declaration_ ? Declaration_->Version_ : 0;
+  S.Digest_ = Declaration_ ? Declaration_->Digest_ : 0;
+  S.Ready_ = ready();
+  S.Stopping_ = Stopping_;
+  S.Flows_ = Flows_.size();
+  S.Requests_ = Requests_.size();
+  S.Passes_ = Passes_.size();
+  S.MemoryBytes_ = Flows_.memory() + Requests_.memory() + Passes_.memory();
+  S.Upstreams_ = Upstreams_.rows();
+  return S;
+}
+
+Balancer::Balancer(BalancerOptions Options)
+    : Impl_(std::make_unique<Impl>(std::move(Options))) {}
+Balancer::Balancer(Balancer &&) noexcept = default;
+Balancer &Balancer::operator=(Balancer &&) noexcept = default;
+Balancer::~Balancer() = default;
+
+void Balancer::handle(const Moment &Now, const Event &What,
+                      const ActionSink &Sink) {
+  Impl_->handle(Now, What, Sink);
+}
+const Counters &Balancer::counters() const { return Impl_->counters(); }
+Status Balancer::status() const { return Impl_->status(); }
+
+BalancerBuilder &BalancerBuilder::name(std::string Value) {
+  Options_.Name_ = std::move(Value);
+  return *this;
+}
+BalancerBuilder &BalancerBuilder::dataAddress(const Endpoint &Value) {
+  Options_.Data_ = Value;
+  return *this;
+}
+BalancerBuilder &BalancerBuilder::incarnation(Incarnation Value) {
+  Options_.Incarnation_ = Value;
+  return *this;
+}
+BalancerBuilder &BalancerBuilder::seed(std::uint64_t Value) {
+  Options_.Seed_ = Value;
+  return *this;
+}
+BalancerBuilder &BalancerBuilder::keys(const KeyPair &Value) {
+  Options_.Keys_ = Value;
+  return *this;
+}
+BalancerBuilder &BalancerBuilder::chooser(Chooser Value) {
+  Options_.Chooser_ = std::move(Value);
+  return *this;
+}
+BalancerBuilder &BalancerBuilder::zones(ZoneClock Value) {
+  Options_.Zones_ = std::move(Value);
+  return *this;
+}
+BalancerBuilder &BalancerBuilder::onDelay(DelayHook Value) {
+  Options_.OnDelay_ = std::move(Value);
+  return *this;
+}
+BalancerBuilder &BalancerBuilder::flowBound(std::uint32_t Value) {
+  Options_.FlowBound_ = Value;
+  return *this;
+}
+Balancer BalancerBuilder::build() const {
+  assert(!Options_.Name_.empty() && !Options_.Data_.empty());
+  assert(Options_.Incarnation_ != Incarnation{} && Options_.Zones_);
+  return Balancer(Options_);
+}
+
+} // namespace thymewall
--- /dev/null
+++ b/src/control-plane.cc
@@ -0,0 +1,355 @@
+#include "control-plane.h"
+
+#include <asio/steady_timer.hpp>
+#include <map>
+#include <set>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace thymewall::detail {
+
+namespace {
+
+using namespace std::chrono_literals;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+constexpr auto HeartbeatEvery = 1s;
+constexpr auto SilentAfter = 5s;
+constexpr std::size_t MaxSuccessionsKept = 256;
+
+struct ServerConfig : websocketpp::config::asio {
+  static const websocketpp::log::level alog_level =
+      websocketpp::log::alevel::none;
+  static const websocketpp::log::level elog_level =
+      websocketpp::log::elevel::none;
+  static const std::size_t max_message_size = MaxControlMessage;
+};
+struct ClientConfig : websocketpp::config::asio_client {
+  static const websocketpp::log::level alog_level =
+      websocketpp::log::alevel::none;
+  static const websocketpp::log::level elog_level =
+      websocketpp::log::elevel::none;
+  static const std::size_t max_message_size = MaxControlMessage;
+};
+using Server = websocketpp::server<ServerConfig>;
+using Client = websocketpp::client<ClientConfig>;
+using Handle = websocketpp::connection_hdl;
+using HandleLess = std::owner_less<Handle>;
+
+/// One open connection, from either side.
+struct Link {
+  bool Accepted_ = false; ///< The peer opened it.
+  std::string Target_;    ///< Control address, for links that we opened.
+  std::string Peer_;      ///< Name, once a heartbeat came.
+};
+
+struct Document {
+  DocumentVersion Which_;
+  std::string Text_;
+};
+
+} // namespace
+
+class ControlPlane::Impl {
+public:
+  Impl(asio::io_context &Context, const Settings &Configured, Incarnation Self,
+       ControlHooks Hooks);
+  ~Impl();
+
+  void setHosts(HostListPtr Hosts);
+  void setDocument(DocumentKind Kind, const DocumentVersion &Which,
+                   std::string Text);
+  void setLeaving();
+  void tell(const Succession &S);
+  std::vector<std::string> silentPeers() const;
+  ControlCounters counters() const;
+
+private:
+  template <typename EndpointType> void prepare(EndpointType &E);
+  void listen();
+  void onOpen(const Handle &Which, bool Accepted, const std::string &Target);
+  void onMessage(const Handle &Which, const std::string &Bytes);
+  void onClose(const Handle &Which, const std::string &Target);
+  void receive(const Handle &Which, const Heartbeat &M);
+  void receive(const Handle &Which, const DocumentWanted &M);
+  void receive(const Handle &Which, const DocumentSent &M);
+  void receive(const Handle &Which, const SuccessionSent &M);
+  void send(const Handle &Which, const ControlMessage &M);
+  void sendAll(const ControlMessage &M);
+  Heartbeat heartbeat() const;
+  void keepLinks();
+  void connect(const std::string &Target);
+  bool linkedTo(const std::string &Name, const std::string &Target) const;
+  void schedule();
+
+  const Settings &Settings_;
+  Incarnation Self_;
+  ControlHooks Hooks_;
+  Server Server_;
+  Client Client_;
+  asio::steady_timer Timer_;
+  HostListPtr Hosts_;
+  std::array<Document, DocumentKinds> Documents_;
+  std::map<Handle, Link, HandleLess> Links_;
+  std::set<std::string> Connecting_;
+  std::map<std::string, SteadyTime> SilentBy_; ///< By peer name.
+  std::vector<Succession> Successions_;
+  ControlCounters Counters_;
+  bool Leaving_ = false;
+};
+
+ControlPlane::Impl::Impl(asio::io_context &Context, const Settings &Configured,
+                         Incarnation Self, ControlHooks Hooks)
+    : Settings_(Configured), Self_(Self), Hooks_(std::move(Hooks)),
+      Timer_(Context) {
+  Server_.init_asio(&Context);
+  Client_.init_asio(&Context);
+  prepare(Server_);
+  prepare(Client_);
+  Server_.set_open_handler([this](Handle H) { onOpen(H, true, ""); });
+  listen();
+  schedule();
+}
+
+ControlPlane::Impl::~Impl() {
+  websocketpp::lib::error_code Ignored;
+  Server_.stop_listening(Ignored);
+  for (const auto &[Which, L] : Links_) {
+    if (L.Accepted_)
+      Server_.close(Which, websocketpp::close::status::going_away, "", Ignored);
+    else
+      Client_.close(Which, websocketpp::close::status::going_away, "", Ignored);
+  }
+}
+
+template <typename EndpointType>
+void ControlPlane::Impl::prepare(EndpointType &E) {
+  E.set_message_handler([this](Handle H, typename EndpointType::message_ptr M) {
+    onMessage(H, M->get_payload());
+  });
+  E.set_close_handler([this](Handle H) { onClose(H, ""); });
+}
+
+void ControlPlane::Impl::listen() {
+  asio::ip::tcp::endpoint Where(
+      asio::ip::make_address(
+          formatEndpoint(Settings_.Control_)
+              .substr(0, formatEndpoint(Settings_.Control_).rfind(':'))),
+      Settings_.Control_.Port_);
+  Server_.set_reuse_addr(true);
+  Server_.listen(Where);
+  Server_.start_accept();
+}
+
+void ControlPlane::Impl::onOpen(const Handle &Which, bool Accepted,
+                                const std::string &Target) {
+  Connecting_.erase(Target);
+  Links_[Which] = Link{Accepted, Target, ""};
+  send(Which, heartbeat());
+  for (const Succession &S : Successions_)
+    send(Which, SuccessionSent{S});
+}
+
+void ControlPlane::Impl::onClose(const Handle &Which,
+                                 const std::string &Target) {
+  Connecting_.erase(Target);
+  Links_.erase(Which);
+}
+
+void ControlPlane::Impl::onMessage(const Handle &Which,
+                                   const std::string &Bytes) {
+  ControlMessage M;
+  Counters_.BytesReceived_ += Bytes.size();
+  if (decodeControl(Bytes, Settings_.Keys_, M) != ErrorKind::None) {
+    ++Counters_.MessagesRefused_;
+    return;
+  }
+  std::visit([&](const auto &Typed) { receive(Which, Typed); }, M);
+}
+
+void ControlPlane::Impl::receive(const Handle &Which, const Heartbeat &M) {
+  if (M.Name_ == Settings_.Name_)
+    return;
+  auto Known = Links_.find(Which);
+  if (Known != Links_.end())
+    Known->second.Peer_ = M.Name_;
+  SilentBy_[M.Name_] = std::chrono::steady_clock::now() + SilentAfter;
+  Hooks_.OnHeartbeat_(M);
+  bool Newer = false;
+  for (std::size_t K = 0; K < DocumentKinds; ++K)
+    if (Documents_[K].Which_ < M.Versions_[K]) {
+      Newer = true;
+      send(Which, DocumentWanted{static_cast<DocumentKind>(K)});
+    }
+  if (!Newer)
+    Hooks_.OnConfirmed_();
+}
+
+void ControlPlane::Impl::receive(const Handle &Which, const DocumentWanted &M) {
+  const Document &D = Documents_[raw(M.Kind_)];
+  if (D.Which_.Version_ != 0)
+    send(Which, DocumentSent{M.Kind_, D.Text_});
+}
+
+void ControlPlane::Impl::receive(const Handle &, const DocumentSent &M) {
+  Hooks_.OnDocument_(M.Kind_, M.Text_);
+}
+
+void ControlPlane::Impl::receive(const Handle &, const SuccessionSent &M) {
+  for (const Succession &S : Successions_)
+    if (S.Home_ == M.Succession_.Home_)
+      return;
+  tell(M.Succession_); // each balancer passes it on once
+  Hooks_.OnSuccession_(M.Succession_);
+}
+
+void ControlPlane::Impl::send(const Handle &Which, const ControlMessage &M) {
+  auto Known = Links_.find(Which);
+  if (Known == Links_.end())
+    return;
+  std::string Bytes = encodeControl(M, Settings_.Keys_[0]);
+  websocketpp::lib::error_code Error;
+  constexpr auto Binary = websocketpp::frame::opcode::binary;
+  if (Known->second.Accepted_)
+    Server_.send(Which, Bytes, Binary, Error);
+  else
+    Client_.send(Which, Bytes, Binary, Error);
+  Counters_.BytesSent_ += Bytes.size();
+  ++Counters_.MessagesSent_;
+}
+
+void ControlPlane::Impl::sendAll(const ControlMessage &M) {
+  for (const auto &[Which, L] : Links_)
+    send(Which, M);
+}
+
+Heartbeat ControlPlane::Impl::heartbeat() const {
+  Heartbeat M;
+  M.Name_ = Settings_.Name_;
+  M.Data_ = Settings_.Data_;
+  M.Incarnation_ = Self_;
+  M.Leaving_ = Leaving_;
+  for (std::size_t K = 0; K < DocumentKinds; ++K)
+    M.Versions_[K] = Documents_[K].Which_;
+  return M;
+}
+
+bool ControlPlane::Impl::linkedTo(const std::string &Name,
+                                  const std::string &Target) const {
+  if (Connecting_.count(Target) != 0)
+    return true;
+  for (const auto &[Which, L] : Links_)
+    if (L.Target_ == Target || (!Name.empty() && L.Peer_ == Name))
+      return true;
+  return false;
+}
+
+void ControlPlane::Impl::keepLinks() {
+  if (!Hosts_) {
+    for (const Endpoint &Seed : Settings_.Seeds_)
+      if (!linkedTo("", formatEndpoint(Seed)))
+        connect(formatEndpoint(Seed));
+    return;
+  }
+  for (const Host &H : choosePeers(*Hosts_, Settings_.Name_,
+                                   Settings_.DataHall_, Settings_.PeerLinks_))
+    if (!linkedTo(H.Name_, formatEndpoint(H.Control_)))
+      connect(formatEndpoint(H.Control_));
+}
+
+void ControlPlane::Impl::connect(const std::string &Target) {
+  websocketpp::lib::error_code Error;
+  auto Connection = Client_.get_connection("ws://" + Target + "/", Error);
+  if (Error)
+    return;
+  Connecting_.insert(Target);
+  Connection->set_open_handler(
+      [this, Target](Handle H) { onOpen(H, false, Target); });
+  Connection->set_close_handler(
+      [this, Target](Handle H) { onClose(H, Target); });
+  Connection->set_fail_handler(
+      [this, Target](Handle H) { onClose(H, Target); });
+  Client_.connect(Connection);
+}
+
+void ControlPlane::Impl::schedule() {
+  Timer_.expires_after(HeartbeatEvery);
+  Timer_.async_wait([this](const asio::error_code &Error) {
+    if (Error)
+      return;
+    keepLinks();
+    sendAll(heartbeat());
+    schedule();
+  });
+}
+
+void ControlPlane::Impl::setHosts(HostListPtr Hosts) {
+  Hosts_ = std::move(Hosts);
+  keepLinks();
+}
+
+void ControlPlane::Impl::setDocument(DocumentKind Kind,
+                                     const DocumentVersion &Which,
+                                     std::string Text) {
+  Document &D = Documents_[raw(Kind)];
+  if (!(D.Which_ < Which))
+    return;
+  D = {Which, std::move(Text)};
+  sendAll(heartbeat());
+}
+
+void ControlPlane::Impl::setLeaving() {
+  Leaving_ = true;
+  sendAll(heartbeat());
+}
+
+void ControlPlane::Impl::tell(const Succession &S) {
+  if (Successions_.size() == MaxSuccessionsKept)
+    Successions_.erase(Successions_.begin());
+  Successions_.push_back(S);
+  sendAll(SuccessionSent{S});
+}
+
+std::vector<std::string> ControlPlane::Impl::silentPeers() const {
+  std::vector<std::string> Result;
+  if (!Hosts_)
+    return Result;
+  auto Now = std::chrono::steady_clock::now();
+  for (const Host &H : Hosts_->Hosts_) {
+    auto Known = SilentBy_.find(H.Name_);
+    bool Silent = Known == SilentBy_.end() || Known->second < Now;
+    if (H.Role_ == Host::Role::Balancer && Silent)
+      Result.push_back(H.Name_);
+  }
+  return Result;
+}
+
+ControlCounters ControlPlane::Impl::counters() const {
+  ControlCounters Result = Counters_;
+  Result.Links_ = Links_.size();
+  return Result;
+}
+
+ControlPlane::ControlPlane(asio::io_context &Context,
+                           const Settings &Configured, Incarnation Self,
+                           ControlHooks Hooks)
+    : Impl_(std::make_unique<Impl>(Context, Configured, Self,
+                                   std::move(Hooks))) {}
+ControlPlane::~ControlPlane() = default;
+void ControlPlane::setHosts(HostListPtr Hosts) {
+  Impl_->setHosts(std::move(Hosts));
+}
+void ControlPlane::setDocument(DocumentKind Kind, const DocumentVersion &Which,
+                               std::string Text) {
+  Impl_->setDocument(Kind, Which, std::move(Text));
+}
+void ControlPlane::setLeaving() { Impl_->setLeaving(); }
+void ControlPlane::tell(const Succession &S) { Impl_->tell(S); }
+std::vector<std::string> ControlPlane::silentPeers() const {
+  return Impl_->silentPeers();
+}
+ControlCounters ControlPlane::counters() const { return Impl_->counters(); }
+
+} // namespace thymewall::detail
--- /dev/null
+++ b/src/ctl-main.cc
@@ -0,0 +1,248 @@
+// thymewall-ctl: the operators' command.
+#include "program.h"
+#include "thymewall/host-list.h"
+#include "thymewall/settings.h"
+#include "thymewall/zone.h"
+
+#include <date/date.h>
+#include <httplib.h>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+#include <thread>
+
+using namespace thymewall;
+using namespace thymewall::detail;
+
+namespace {
+
+using Json = nlohmann::json;
+
+struct UsageError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+WallTime wallNow() {
+  return WallTime(std::chrono::duration_cast<Micros>(
+      std::chrono::system_clock::now().time_since_epoch()));
+}
+
+/// Parses "2026-12-02T18:30Z".
+WallTime parseTime(const std::string &Text) {
+  std::istringstream In(Text);
+  date::sys_time<std::chrono::minutes> When;
+  In >> date::parse("%FT%RZ", When);
+  if (In.fail())
+    throw UsageError("--at needs a time such as 2026-12-02T18:30Z");
+  return WallTime(When.time_since_epoch());
+}
+
+DeclarationPtr loadDeclaration(const std::string &Path) {
+  return loadConfig(Path, [](std::string Text, const std::string &File) {
+    return parseDeclaration(std::move(Text), File, zoneClock());
+  });
+}
+
+/// Checks documents of any of the three sorts, told apart by their keys.
+int check(const std::vector<std::string> &Files, WallTime From) {
+  if (Files.empty())
+    throw UsageError("check needs at least one FILE");
+  Problems All;
+  auto Note = [&](const Problems &Found) {
+    All.insert(All.end(), Found.begin(), Found.end());
+  };
+  for (const std::string &File : Files) {
+    std::optional<std::string> Text = readFile(File);
+    if (!Text) {
+      Note({{File, "(file)", "can't be read"}});
+      continue;
+    }
+    Json Root = Json::parse(*Text, nullptr, false);
+    bool IsSettings = Root.is_object() && Root.contains("keys");
+    bool IsHosts = Root.is_object() && Root.contains("hosts");
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void> {
+          if (IsSettings) {
+            BOOST_LEAF_CHECK((parseSettings(*Text, File)));
+          } else if (IsHosts) {
+            BOOST_LEAF_CHECK((parseHostList(*Text, File)));
+          } else {
+            BOOST_LEAF_AUTO(Read, parseDeclaration(*Text, File, zoneClock()));
+            Note(checkWeek(*Read, File, zoneClock(), From));
+          }
+          return {};
+        },
+        Note, [] {});
+  }
+  printProblems(All);
+  std::cout << Files.size() << " checked, " << All.size() << " problems\n";
+  return All.empty() ? ExitDone : ExitFoundWrong;
+}
+
+int explainService(const std::vector<std::string> &Words, WallTime When) {
+  if (Words.size() != 2)
+    throw UsageError("explain needs SERVICE and FILE");
+  DeclarationPtr D = loadDeclaration(Words[1]);
+  const Service *S = D->service(static_cast<ServiceId>(nameId(Words[0])));
+  if (!S) {
+    std::cerr << Words[1] << ": services: \"" << Words[0]
+              << "\" is not declared\n";
+    return ExitFoundWrong;
+  }
+  for (const Upstream &U : D->Upstreams_) {
+    std::string Reason = explain(*D, *S, U, zoneClock(), When);
+    std::cout << U.Name_ << ": " << (Reason.empty() ? "yes" : "no, " + Reason)
+              << "\n";
+  }
+  return ExitDone;
+}
+
+std::set<std::string> servingNames(const Declaration &D, const Service &S,
+                                   WallTime When) {
+  std::set<std::string> Names;
+  for (std::size_t Index : eligible(D, S, zoneClock(), When))
+    Names.insert(D.Upstreams_[Index].Name_);
+  return Names;
+}
+
+/// Prints which upstreams each service would lose and gain.
+int diff(const std::vector<std::string> &Words, WallTime When) {
+  if (Words.size() != 2)
+    throw UsageError("diff needs OLD and NEW");
+  DeclarationPtr Old = loadDeclaration(Words[0]);
+  DeclarationPtr New = loadDeclaration(Words[1]);
+  std::cout << "version " << Old->Version_ << " -> " << New->Version_ << "\n";
+  std::set<std::string> Services;
+  for (const DeclarationPtr &D : {Old, New})
+    for (const Service &S : D->Services_)
+      Services.insert(S.Name_);
+  for (const std::string &Name : Services) {
+    auto Id = static_cast<ServiceId>(nameId(Name));
+    std::set<std::string> Before;
+    std::set<std::string> After;
+    if (const Service *S = Old->service(Id))
+      Before = servingNames(*Old, *S, When);
+    if (const Service *S = New->service(Id))
+      After = servingNames(*New, *S, When);
+    for (const std::string &U : Before)
+      if (After.count(U) == 0)
+        std::cout << Name << ": - " << U
+                  << " (drains; its flows stay to their end)\n";
+    for (const std::string &U : After)
+      if (Before.count(U) == 0)
+        std::cout << Name << ": + " << U << "\n";
+  }
+  return New->Version_ > Old->Version_ ? ExitDone : ExitFoundWrong;
+}
+
+std::optional<Json> fetchStatus(const std::string &Address) {
+  httplib::Client Client("http://" + Address);
+  Client.set_connection_timeout(std::chrono::seconds(1));
+  Client.set_read_timeout(std::chrono::seconds(3));
+  auto Result = Client.Get("/status");
+  if (!Result || Result->status != 200)
+    return std::nullopt;
+  return Json::parse(Result->body);
+}
+
+int status(const std::vector<std::string> &Addresses) {
+  if (Addresses.empty())
+    throw UsageError("status needs the status ADDRESS of each balancer");
+  bool AllAnswered = true;
+  for (const std::string &Address : Addresses) {
+    std::optional<Json> Page = fetchStatus(Address);
+    if (!Page) {
+      std::cout << Address << ": no answer\n";
+      AllAnswered = false;
+      continue;
+    }
+    const Json &C = Page->at("counters");
+    std::cout << Page->at("name").get<std::string>() << ": version "
+              << Page->at("version")
+              << (Page->at("ready").get<bool>() ? "" : ", not ready")
+              << (Page->at("stopping").get<bool>() ? ", stopping" : "")
+              << ", flows " << C.at("flows") << ", requests "
+              << C.at("requests_in_progress") << ", not run "
+              << C.at("refused_not_run") << ", outcome unknown "
+              << C.at("outcome_unknown") << "\n";
+    for (const Json &U : Page->at("upstreams")) {
+      bool Draining =
+          !U.at("declared").get<bool>() || U.at("leaving").get<bool>();
+      if (Draining || U.at("failures").get<int>() > 0)
+        std::cout << "  " << U.at("name").get<std::string>()
+                  << (Draining ? ": draining" : ": failing") << ", own flows "
+                  << U.at("own_flows") << "\n";
+    }
+  }
+  return AllAnswered ? ExitDone : ExitFoundWrong;
+}
+
+/// Waits until every balancer has a version in force; prints the seconds.
+int waitFor(const std::vector<std::string> &Addresses, Version Wanted,
+            int TimeoutSeconds) {
+  constexpr auto Pause = std::chrono::milliseconds(20);
+  auto Start = std::chrono::steady_clock::now();
+  auto GiveUpAt = Start + std::chrono::seconds(TimeoutSeconds);
+  std::set<std::string> Left(Addresses.begin(), Addresses.end());
+  while (!Left.empty() && std::chrono::steady_clock::now() < GiveUpAt) {
+    for (auto At = Left.begin(); At != Left.end();) {
+      std::optional<Json> Page = fetchStatus(*At);
+      bool InForce = Page && Page->at("version").get<Version>() >= Wanted;
+      At = InForce ? Left.erase(At) : std::next(At);
+    }
+    std::this_thread::sleep_for(Pause);
+  }
+  std::chrono::duration<double> Took = std::chrono::steady_clock::now() - Start;
+  std::cout << Took.count() << "\n";
+  for (const std::string &Address : Left)
+    std::cerr << Address << ": version " << Wanted << " is not in force\n";
+  return Left.empty() ? ExitDone : ExitFoundWrong;
+}
+
+int run(int Count, char **Values) {
+  cxxopts::Options Options(
+      "thymewall-ctl", "Checks declarations and asks balancers.\n"
+                       "  check FILE...         all faults of documents\n"
+                       "  explain SERVICE FILE  who serves it, and why not\n"
+                       "  diff OLD NEW          what a change would move\n"
+                       "  status ADDRESS...     what balancers are doing\n"
+                       "  wait ADDRESS...       until --is is in force");
+  Options.add_options()("at", "time, such as 2026-12-02T18:30Z (default: now)",
+                        cxxopts::value<std::string>())(
+      "is", "version to wait for",
+      cxxopts::value<Version>()->default_value("1"))(
+      "timeout", "seconds to wait", cxxopts::value<int>()->default_value("10"))(
+      "words", "", cxxopts::value<std::vector<std::string>>());
+  Options.parse_positional("words");
+  Options.positional_help("COMMAND [ARGUMENT...]");
+  auto Arguments = parseArguments(Options, Count, Values);
+  std::vector<std::string> Words;
+  if (Arguments.count("words") != 0)
+    Words = Arguments["words"].as<std::vector<std::string>>();
+  if (Words.empty())
+    throw UsageError("a command is needed; see --help");
+  std::string Command = Words.front();
+  Words.erase(Words.begin());
+  WallTime When = Arguments.count("at") != 0
+                      ? parseTime(Arguments["at"].as<std::string>())
+                      : wallNow();
+  if (Command == "check")
+    return check(Words, When);
+  if (Command == "explain")
+    return explainService(Words, When);
+  if (Command == "diff")
+    return diff(Words, When);
+  if (Command == "status")
+    return status(Words);
+  if (Command == "wait")
+    return waitFor(Words, Arguments["is"].as<Version>(),
+                   Arguments["timeout"].as<int>());
+  throw UsageError("\"" + Command + "\" is not a command; see --help");
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  return runProgram([&] { return run(Count, Values); });
+}
--- /dev/null
+++ b/src/load-main.cc
@@ -0,0 +1,65 @@
+// thymewall-load: load, experiments, and the audit of a run.
+#include "load-audit.h"
+#include "load-run.h"
+#include "program.h"
+
+#include <fstream>
+#include <iostream>
+
+using namespace thymewall;
+using namespace thymewall::detail;
+
+namespace {
+
+std::string need(const std::string &Path) {
+  std::optional<std::string> Text = readFile(Path);
+  if (!Text)
+    throw std::runtime_error(Path + ": can't be read");
+  return *Text;
+}
+
+int runAudit(const std::string &Record, const std::vector<std::string> &Files,
+             double ConfigSeconds) {
+  std::vector<std::string> Upstreams;
+  for (const std::string &File : Files)
+    Upstreams.push_back(need(File));
+  Verdict V = audit(need(Record), Upstreams, ConfigSeconds);
+  std::cout << V.Line_ << "\n";
+  return V.Kept_ ? ExitDone : ExitFoundWrong;
+}
+
+int run(int Count, char **Values) {
+  cxxopts::Options Options("thymewall-load",
+                           "Runs a scenario, or with --audit judges one.");
+  Options.add_options()("config", "scenario in JSON",
+                        cxxopts::value<std::string>())(
+      "record", "the callers' record: written by a run, read by --audit",
+      cxxopts::value<std::string>())(
+      "audit", "judge a record against the upstreams' records")(
+      "config-seconds", "shown as config_seconds_max",
+      cxxopts::value<double>()->default_value("0"))(
+      "files", "", cxxopts::value<std::vector<std::string>>());
+  Options.parse_positional("files");
+  Options.positional_help("[UPSTREAM-RECORD...]");
+  auto Arguments = parseArguments(Options, Count, Values);
+  if (Arguments.count("record") == 0)
+    throw std::runtime_error("--record FILE is needed");
+  std::string Record = Arguments["record"].as<std::string>();
+  if (Arguments.count("audit") != 0)
+    return runAudit(Record, Arguments["files"].as<std::vector<std::string>>(),
+                    Arguments["config-seconds"].as<double>());
+  if (Arguments.count("config") == 0)
+    throw std::runtime_error("--config FILE is needed");
+  Scenario S = loadConfig(Arguments["config"].as<std::string>(), parseScenario);
+  asio::io_context Context(1);
+  LoadRun Run(Context, S);
+  Context.run();
+  std::ofstream(Record) << Run.record();
+  return ExitDone;
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  return runProgram([&] { return run(Count, Values); });
+}
--- /dev/null
+++ b/src/load-run.cc
@@ -0,0 +1,456 @@
+#include "load-run.h"
+
+#include "app-payload.h"
+#include "thymewall/metrics.h"
+#include "thymewall/route.h"
+#include "udp-socket.h"
+
+#include <asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <unordered_map>
+
+namespace thymewall::detail {
+
+namespace {
+
+using namespace std::chrono_literals;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+constexpr auto TickEvery = 5ms;
+constexpr auto ResendEvery = 200ms;
+constexpr auto PingEvery = 4s;
+/// A final answer should have come by the deadline and this.
+constexpr auto GraceAfterDeadline = 300ms;
+constexpr auto DrainFor = 500ms;
+constexpr std::size_t OpenPadding = 140;
+
+enum class State { Waiting, Opening, Idle, Requesting, Done };
+
+/// The request that a flow has in progress. Resends carry the route of the
+/// first send: it is part of the request's identity.
+struct Pending {
+  std::uint64_t Id_ = 0;
+  std::uint32_t Number_ = 0;
+  bool Once_ = false;
+  SealedRoute Route_;
+  SteadyTime SentAt_;
+  SteadyTime ResendAt_;
+  SteadyTime GiveUpAt_;
+  WallTime Deadline_{};
+  std::uint64_t Attempt_ = 0; ///< Whose parts are being gathered.
+  std::uint64_t PartsSeen_ = 0;
+};
+
+struct CallerFlow {
+  FlowId Id_{};
+  std::size_t Class_ = 0;
+  std::size_t Socket_ = 0;
+  State State_ = State::Waiting;
+  SteadyTime NextAt_;
+  SteadyTime PingAt_;
+  SealedRoute Route_;
+  Pending Pending_;
+  std::uint32_t Requests_ = 0; ///< Done so far.
+  std::uint32_t Number_ = 0;
+  std::uint32_t PushesInOrder_ = 0;
+};
+
+struct Totals {
+  std::uint64_t Requests_ = 0;
+  std::uint64_t Answered_ = 0;
+  std::uint64_t NotRun_ = 0;
+  std::uint64_t OutcomeUnknown_ = 0;
+  std::uint64_t NoFinalAnswer_ = 0;
+  std::uint64_t OpensRefused_ = 0;
+  std::uint64_t BrokenFlows_ = 0;
+  std::uint64_t WrongService_ = 0;
+  std::uint64_t MixedParts_ = 0;
+  std::uint64_t Pushes_ = 0;
+  std::vector<std::uint64_t> AnsweredOnce_;
+  std::vector<std::uint64_t> NotRunOnce_;
+};
+
+WallTime wallNow() {
+  return WallTime(std::chrono::duration_cast<Micros>(
+      std::chrono::system_clock::now().time_since_epoch()));
+}
+
+void keep(SealedRoute &Into, Bytes From) {
+  if (From.empty() || From.Size_ > MaxRoute)
+    return;
+  std::memcpy(Into.Bytes_.data(), From.Data_, From.Size_);
+  Into.Size_ = From.Size_;
+}
+
+} // namespace
+
+class LoadRun::Impl {
+public:
+  Impl(asio::io_context &Context, const Scenario &S);
+  std::string record() const;
+
+private:
+  void schedule();
+  void tick();
+  void start(CallerFlow &F, SteadyTime Now);
+  void step(CallerFlow &F, SteadyTime Now);
+  void sendOpen(CallerFlow &F, SteadyTime Now);
+  void sendRequest(CallerFlow &F, SteadyTime Now);
+  void beginRequest(CallerFlow &F, SteadyTime Now);
+  void finishRequest(CallerFlow &F);
+  void sendPing(CallerFlow &F, SteadyTime Now);
+  void close(CallerFlow &F);
+  void receive(const std::uint8_t *Data, std::size_t Size);
+  void onOpened(CallerFlow &F, const Message &M);
+  void onAnswer(CallerFlow &F, const Message &M);
+  void onRefused(CallerFlow &F, const Message &M);
+  void onReset(CallerFlow &F, const Message &M);
+  void noteNotCompleted(CallerFlow &F, const Message &M);
+  void onPush(CallerFlow &F, const Message &M);
+  void reopen(CallerFlow &F, SteadyTime At);
+  void send(CallerFlow &F, Message &M);
+  const LoadClass &classOf(const CallerFlow &F) const {
+    return Scenario_.Classes_[F.Class_];
+  }
+  SteadyTime thinkUntil(const CallerFlow &F, SteadyTime Now);
+  std::string delayClass(const Pending &P) const {
+    return P.Once_ ? "once" : "repeatable";
+  }
+
+  asio::io_context &Context_;
+  Scenario Scenario_;
+  std::mt19937_64 Random_;
+  asio::steady_timer Timer_;
+  std::vector<std::unique_ptr<UdpSocket>> Sockets_;
+  std::vector<CallerFlow> Flows_;
+  std::unordered_map<std::uint64_t, std::size_t> ById_;
+  Totals Totals_;
+  DelayMetrics Delays_;
+  std::size_t Open_ = 0;
+  std::size_t Finished_ = 0;
+  std::int64_t SteadyAtMs_ = 0;
+  SteadyTime HoldUntil_ = SteadyTime::max();
+  SteadyTime EndAt_ = SteadyTime::max();
+};
+
+LoadRun::Impl::Impl(asio::io_context &Context, const Scenario &S)
+    : Context_(Context), Scenario_(S), Random_(S.Seed_), Timer_(Context) {
+  Endpoint Local = S.Local_;
+  Local.Port_ = 0;
+  for (std::uint32_t I = 0; I < S.Sockets_; ++I)
+    Sockets_.push_back(std::make_unique<UdpSocket>(
+        Context, Local,
+        [this](const Endpoint &, const std::uint8_t *Data, std::size_t Size) {
+          receive(Data, Size);
+        }));
+  for (std::size_t C = 0; C < S.Classes_.size(); ++C)
+    for (std::uint32_t I = 0; I < S.Classes_[C].Flows_; ++I) {
+      CallerFlow F;
+      F.Class_ = C;
+      Flows_.push_back(F);
+    }
+  std::shuffle(Flows_.begin(), Flows_.end(), Random_);
+  auto Now = std::chrono::steady_clock::now();
+  auto Gap = std::chrono::nanoseconds(1s) / S.OpensPerSecond_;
+  for (std::size_t I = 0; I < Flows_.size(); ++I) {
+    Flows_[I].Socket_ = Random_() % Sockets_.size();
+    Flows_[I].NextAt_ = Now + Gap * static_cast<long>(I);
+  }
+  schedule();
+}
+
+void LoadRun::Impl::schedule() {
+  Timer_.expires_after(TickEvery);
+  Timer_.async_wait([this](const asio::error_code &Error) {
+    if (!Error)
+      tick();
+  });
+}
+
+void LoadRun::Impl::tick() {
+  auto Now = std::chrono::steady_clock::now();
+  for (CallerFlow &F : Flows_)
+    if (F.State_ != State::Done && Now >= F.NextAt_)
+      step(F, Now);
+  for (CallerFlow &F : Flows_)
+    if ((F.State_ == State::Idle || F.State_ == State::Requesting) &&
+        Now >= F.PingAt_)
+      sendPing(F, Now);
+  if (Finished_ == Flows_.size() && EndAt_ == SteadyTime::max())
+    EndAt_ = Now + DrainFor;
+  if (Now >= EndAt_)
+    return Context_.stop();
+  schedule();
+}
+
+/// Does what is due at a flow's `NextAt_`.
+void LoadRun::Impl::step(CallerFlow &F, SteadyTime Now) {
+  switch (F.State_) {
+  case State::Waiting:
+    return start(F, Now);
+  case State::Opening:
+    return sendOpen(F, Now);
+  case State::Idle:
+    if (F.Requests_ < classOf(F).RequestsPerFlow_)
+      return beginRequest(F, Now);
+    if (Now >= HoldUntil_)
+      return close(F);
+    F.NextAt_ = Now + ResendEvery;
+    return;
+  case State::Requesting:
+    if (Now < F.Pending_.GiveUpAt_)
+      return sendRequest(F, Now);
+    ++Totals_.NoFinalAnswer_;
+    ++Totals_.OutcomeUnknown_;
+    return finishRequest(F);
+  case State::Done:
+    return;
+  }
+}
+
+void LoadRun::Impl::start(CallerFlow &F, SteadyTime Now) {
+  F.Id_ = static_cast<FlowId>(Random_());
+  F.Number_ = 0;
+  F.PushesInOrder_ = 0;
+  ById_[raw(F.Id_)] = static_cast<std::size_t>(&F - Flows_.data());
+  F.State_ = State::Opening;
+  sendOpen(F, Now);
+}
+
+void LoadRun::Impl::sendOpen(CallerFlow &F, SteadyTime Now) {
+  std::uint8_t Padding[OpenPadding] = {};
+  Message M;
+  M.Kind_ = Kind::Open;
+  M.Payload_ = {Padding, sizeof Padding};
+  send(F, M);
+  F.NextAt_ = Now + ResendEvery;
+}
+
+void LoadRun::Impl::beginRequest(CallerFlow &F, SteadyTime Now) {
+  const LoadClass &C = classOf(F);
+  Pending P;
+  P.Id_ = Random_();
+  P.Number_ = ++F.Number_;
+  P.Once_ = std::generate_canonical<double, 32>(Random_) < C.OnceShare_;
+  P.Route_ = F.Route_;
+  P.SentAt_ = Now;
+  P.GiveUpAt_ = Now + C.DeadlineAfter_ + GraceAfterDeadline;
+  P.Deadline_ = wallNow() + C.DeadlineAfter_;
+  F.Pending_ = P;
+  F.State_ = State::Requesting;
+  ++Totals_.Requests_;
+  sendRequest(F, Now);
+}
+
+void LoadRun::Impl::sendRequest(CallerFlow &F, SteadyTime Now) {
+  const Pending &P = F.Pending_;
+  std::uint8_t Body[AppPayloadSize];
+  const LoadClass &C = classOf(F);
+  write({P.Id_, nameId(C.Service_), C.Parts_}, Body);
+  Message M;
+  M.Kind_ = Kind::Request;
+  M.Request_ = P.Number_;
+  M.Flags_ = P.Once_ ? 0 : FlagRepeatable;
+  M.Deadline_ = P.Deadline_;
+  M.Route_ = P.Route_.bytes();
+  M.Payload_ = {Body, sizeof Body};
+  send(F, M);
+  F.NextAt_ = Now + ResendEvery;
+}
+
+void LoadRun::Impl::sendPing(CallerFlow &F, SteadyTime Now) {
+  Message M;
+  M.Kind_ = Kind::Ping;
+  M.Request_ = F.PushesInOrder_;
+  M.Route_ = F.Route_.bytes();
+  send(F, M);
+  F.PingAt_ = Now + PingEvery;
+}
+
+void LoadRun::Impl::close(CallerFlow &F) {
+  Message M;
+  M.Kind_ = Kind::Close;
+  M.Route_ = F.Route_.bytes();
+  send(F, M);
+  F.State_ = State::Done;
+  ++Finished_;
+}
+
+void LoadRun::Impl::send(CallerFlow &F, Message &M) {
+  M.Flow_ = F.Id_;
+  std::uint8_t Buffer[MaxDatagram + MaxHeader];
+  std::size_t Size = encode(M, Buffer, sizeof Buffer);
+  Sockets_[F.Socket_]->send(classOf(F).At_, Buffer, Size);
+}
+
+SteadyTime LoadRun::Impl::thinkUntil(const CallerFlow &F, SteadyTime Now) {
+  std::exponential_distribution<double> Spread(1);
+  auto Think = classOf(F).ThinkFor_ * std::min(Spread(Random_), 4.0);
+  return Now + std::chrono::duration_cast<std::chrono::nanoseconds>(Think);
+}
+
+void LoadRun::Impl::finishRequest(CallerFlow &F) {
+  F.State_ = State::Idle;
+  ++F.Requests_;
+  F.NextAt_ = thinkUntil(F, std::chrono::steady_clock::now());
+}
+
+void LoadRun::Impl::receive(const std::uint8_t *Data, std::size_t Size) {
+  Message M;
+  if (decode(Data, Size, M) != ErrorKind::None)
+    return;
+  auto Known = ById_.find(raw(M.Flow_));
+  if (Known == ById_.end())
+    return;
+  CallerFlow &F = Flows_[Known->second];
+  if (F.State_ == State::Done)
+    return;
+  switch (M.Kind_) {
+  case Kind::Opened:
+    return onOpened(F, M);
+  case Kind::Answer:
+    return onAnswer(F, M);
+  case Kind::Refused:
+    return onRefused(F, M);
+  case Kind::Reset:
+    return onReset(F, M);
+  case Kind::Push:
+    return onPush(F, M);
+  default:
+    return;
+  }
+}
+
+/// The first `opened` wins; those of repeats are dropped.
+void LoadRun::Impl::onOpened(CallerFlow &F, const Message &M) {
+  if (F.State_ != State::Opening)
+    return;
+  auto Now = std::chrono::steady_clock::now();
+  keep(F.Route_, M.Route_);
+  F.State_ = State::Idle;
+  auto Spread = PingEvery * std::generate_canonical<double, 32>(Random_);
+  F.PingAt_ =
+      Now + std::chrono::duration_cast<std::chrono::nanoseconds>(Spread);
+  F.NextAt_ = thinkUntil(F, Now);
+  if (++Open_ < Flows_.size() || SteadyAtMs_ != 0)
+    return;
+  HoldUntil_ = Now + Scenario_.HoldFor_;
+  SteadyAtMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                    wallNow().time_since_epoch())
+                    .count();
+}
+
+void LoadRun::Impl::onAnswer(CallerFlow &F, const Message &M) {
+  Pending &P = F.Pending_;
+  if (F.State_ != State::Requesting || M.Request_ != P.Number_)
+    return;
+  AppPayload Body = readAppPayload(M.Payload_);
+  if (Body.Service_ != nameId(classOf(F).Service_))
+    ++Totals_.WrongService_;
+  if (Body.Id_ != P.Id_ || Body.Parts_ != M.Part_)
+    ++Totals_.MixedParts_;
+  if (P.Attempt_ != M.Attempt_) {
+    P.Attempt_ = M.Attempt_;
+    P.PartsSeen_ = 0;
+  }
+  P.PartsSeen_ |= std::uint64_t{1} << M.Part_;
+  keep(F.Route_, M.Route_);
+  std::uint16_t Parts = std::max<std::uint16_t>(M.Parts_, 1);
+  std::uint64_t All =
+      Parts == MaxParts ? ~std::uint64_t{0} : (std::uint64_t{1} << Parts) - 1;
+  if (P.PartsSeen_ != All)
+    return;
+  ++Totals_.Answered_;
+  if (P.Once_)
+    Totals_.AnsweredOnce_.push_back(P.Id_);
+  Delays_.record(classOf(F).Service_, delayClass(P),
+                 std::chrono::duration_cast<Micros>(
+                     std::chrono::steady_clock::now() - P.SentAt_));
+  finishRequest(F);
+}
+
+/// Counts a final answer other than a whole one.
+void LoadRun::Impl::noteNotCompleted(CallerFlow &F, const Message &M) {
+  const Pending &P = F.Pending_;
+  bool NotRun = (M.Flags_ & FlagNotRun) != 0;
+  ++(NotRun ? Totals_.NotRun_ : Totals_.OutcomeUnknown_);
+  if (NotRun && P.Once_)
+    Totals_.NotRunOnce_.push_back(P.Id_);
+  finishRequest(F);
+}
+
+void LoadRun::Impl::onRefused(CallerFlow &F, const Message &M) {
+  auto Now = std::chrono::steady_clock::now();
+  auto Pause = std::max(M.RetryAt_ - wallNow(), Micros{0});
+  if (M.Request_ == 0) {
+    if (F.State_ != State::Opening)
+      return;
+    ++Totals_.OpensRefused_;
+    return reopen(F, Now + Pause);
+  }
+  if (F.State_ != State::Requesting || M.Request_ != F.Pending_.Number_)
+    return;
+  keep(F.Route_, M.Route_);
+  noteNotCompleted(F, M);
+  F.NextAt_ = std::max(F.NextAt_, Now + Pause);
+  if (M.Reason_ != ErrorKind::FlowUnknown)
+    return;
+  ++Totals_.BrokenFlows_;
+  --Open_;
+  reopen(F, Now);
+}
+
+void LoadRun::Impl::onReset(CallerFlow &F, const Message &M) {
+  auto Now = std::chrono::steady_clock::now();
+  if (F.State_ == State::Opening)
+    return reopen(F, Now + ResendEvery);
+  bool Mine = F.State_ == State::Requesting && M.Request_ == F.Pending_.Number_;
+  if (M.Request_ != 0 && !Mine)
+    return;
+  ++Totals_.BrokenFlows_;
+  --Open_;
+  if (F.State_ == State::Requesting)
+    noteNotCompleted(F, M);
+  reopen(F, Now);
+}
+
+void LoadRun::Impl::reopen(CallerFlow &F, SteadyTime At) {
+  ById_.erase(raw(F.Id_));
+  F.State_ = State::Waiting;
+  F.NextAt_ = At;
+}
+
+void LoadRun::Impl::onPush(CallerFlow &F, const Message &M) {
+  if (M.Request_ != F.PushesInOrder_ + 1)
+    return; // repeated, or after a gap that the next ping fills
+  ++F.PushesInOrder_;
+  ++Totals_.Pushes_;
+}
+
+std::string LoadRun::Impl::record() const {
+  const Totals &T = Totals_;
+  nlohmann::json J = {{"flows", Flows_.size()},
+                      {"requests", T.Requests_},
+                      {"answered", T.Answered_},
+                      {"refused_not_run", T.NotRun_},
+                      {"outcome_unknown", T.OutcomeUnknown_},
+                      {"no_final_answer", T.NoFinalAnswer_},
+                      {"opens_refused", T.OpensRefused_},
+                      {"broken_flows", T.BrokenFlows_},
+                      {"wrong_service", T.WrongService_},
+                      {"mixed_parts", T.MixedParts_},
+                      {"pushes", T.Pushes_},
+                      {"steady_at_ms", SteadyAtMs_},
+                      {"answered_once", T.AnsweredOnce_},
+                      {"not_run_once", T.NotRunOnce_},
+                      {"delays", nlohmann::json::parse(Delays_.json())}};
+  return J.dump();
+}
+
+LoadRun::LoadRun(asio::io_context &Context, const Scenario &S)
+    : Impl_(std::make_unique<Impl>(Context, S)) {}
+LoadRun::~LoadRun() = default;
+std::string LoadRun::record() const { return Impl_->record(); }
+
+} // namespace thymewall::detail
--- /dev/null
+++ b/src/platform-client.cc
@@ -0,0 +1,141 @@
+#include "platform-client.h"
+
+#include <asio/post.hpp>
+#include <atomic>
+#include <condition_variable>
+#include <httplib.h>
+#include <mutex>
+#include <thread>
+
+namespace thymewall::detail {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto WatchFor = 5s;
+constexpr auto RetryAfter = 300ms;
+const char *const Paths[DocumentKinds] = {"/v1/watch/declaration",
+                                          "/v1/watch/hosts"};
+
+} // namespace
+
+class PlatformClient::Impl {
+public:
+  Impl(asio::io_context &Context, const Endpoint &Platform, Handler OnAnswer)
+      : Context_(Context), OnAnswer_(std::move(OnAnswer)) {
+    std::string Url = "http://" + formatEndpoint(Platform);
+    for (std::size_t K = 0; K < DocumentKinds; ++K) {
+      Clients_[K] = std::make_unique<httplib::Client>(Url);
+      Clients_[K]->set_connection_timeout(1s);
+      Clients_[K]->set_read_timeout(WatchFor + 2s);
+      Threads_[K] = std::thread([this, K] { run(K); });
+    }
+  }
+
+  ~Impl() {
+    {
+      std::lock_guard<std::mutex> Guard(Mutex_);
+      Ending_ = true;
+    }
+    Changed_.notify_all();
+    for (auto &Client : Clients_)
+      Client->stop();
+    for (std::thread &T : Threads_)
+      T.join();
+  }
+
+  void setKnown(std::size_t Kind, Version Known) { Known_[Kind] = Known; }
+
+  void setWatching(bool Watching) {
+    {
+      std::lock_guard<std::mutex> Guard(Mutex_);
+      Watching_ = Watching;
+    }
+    Changed_.notify_all();
+  }
+
+  void readNow() {
+    {
+      std::lock_guard<std::mutex> Guard(Mutex_);
+      ReadNow_.fill(true);
+    }
+    Changed_.notify_all();
+    for (auto &Client : Clients_)
+      Client->stop(); // ends a watch that began before
+  }
+
+  std::uint64_t calls() const { return Calls_; }
+
+private:
+  /// Takes the next piece of work; false at the end.
+  bool next(std::size_t Kind, bool &Wait) {
+    std::unique_lock<std::mutex> Guard(Mutex_);
+    Changed_.wait(Guard,
+                  [&] { return Ending_ || Watching_ || ReadNow_[Kind]; });
+    Wait = !ReadNow_[Kind];
+    ReadNow_[Kind] = false;
+    return !Ending_;
+  }
+
+  void run(std::size_t Kind) {
+    bool Wait = false;
+    while (next(Kind, Wait)) {
+      if (call(Kind, Wait))
+        continue;
+      std::unique_lock<std::mutex> Guard(Mutex_);
+      ReadNow_[Kind] = ReadNow_[Kind] || !Wait; // a failed read is repeated
+      Changed_.wait_for(Guard, RetryAfter, [&] { return Ending_; });
+    }
+  }
+
+  bool call(std::size_t Kind, bool Wait) {
+    ++Calls_;
+    auto WaitMs = std::chrono::milliseconds(Wait ? WatchFor : 0s).count();
+    std::string Path = std::string(Paths[Kind]) +
+                       "?after=" + std::to_string(Known_[Kind]) +
+                       "&wait_ms=" + std::to_string(WaitMs);
+    auto Result = Clients_[Kind]->Get(Path.c_str());
+    if (!Result || (Result->status != 200 && Result->status != 204))
+      return false;
+    PlatformAnswer Answer;
+    Answer.Kind_ = static_cast<DocumentKind>(Kind);
+    if (Result->status == 200)
+      Answer.Text_ = Result->body;
+    asio::post(Context_, [this, Answer] { OnAnswer_(Answer); });
+    // A version that is refused stays unknown and so is sent again: then ask
+    // no faster than after a failure.
+    bool Repeated = Result->status == 200 && Result->body == Last_[Kind];
+    if (Result->status == 200)
+      Last_[Kind] = std::move(Result->body);
+    return !Repeated || !Wait;
+  }
+
+  asio::io_context &Context_;
+  Handler OnAnswer_;
+  std::array<std::unique_ptr<httplib::Client>, DocumentKinds> Clients_;
+  std::array<std::string, DocumentKinds> Last_; ///< Own thread's only.
+  std::array<std::atomic<Version>, DocumentKinds> Known_{};
+  std::atomic<std::uint64_t> Calls_{0};
+  std::mutex Mutex_;
+  std::condition_variable Changed_;
+  std::array<bool, DocumentKinds> ReadNow_{true, true};
+  bool Watching_ = false;
+  bool Ending_ = false;
+  std::array<std::thread, DocumentKinds> Threads_; ///< Start last.
+};
+
+PlatformClient::PlatformClient(asio::io_context &Context,
+                               const Endpoint &Platform, Handler OnAnswer)
+    : Impl_(std::make_unique<Impl>(Context, Platform, std::move(OnAnswer))) {}
+PlatformClient::~PlatformClient() = default;
+void PlatformClient::setKnown(DocumentKind Kind, Version Known) {
+  Impl_->setKnown(raw(Kind), Known);
+}
+void PlatformClient::setWatching(bool Watching) {
+  Impl_->setWatching(Watching);
+}
+void PlatformClient::readNow() { Impl_->readNow(); }
+std::uint64_t PlatformClient::calls() const { return Impl_->calls(); }
+
+} // namespace thymewall::detail
--- /dev/null
+++ b/src/platform-client.h
@@ -0,0 +1,45 @@
+/// \file
+/// Reads and watches the users' platform (docs/PROTOCOL.md, "Platform"). Its
+/// threads only block on HTTP; results are posted to the Asio context.
+#ifndef THYMEWALL_SRC_PLATFORM_CLIENT_H
+#define THYMEWALL_SRC_PLATFORM_CLIENT_H
+
+#include "thymewall/control.h"
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+
+namespace thymewall::detail {
+
+/// What the platform said about one document.
+struct PlatformAnswer {
+  DocumentKind Kind_ = DocumentKind::Declaration;
+  std::string Text_; ///< Empty when there is nothing newer.
+};
+
+class PlatformClient {
+public:
+  using Handler = std::function<void(const PlatformAnswer &)>;
+
+  PlatformClient(asio::io_context &Context, const Endpoint &Platform,
+                 Handler OnAnswer);
+  ~PlatformClient();
+
+  /// The version from which the next call watches on.
+  void setKnown(DocumentKind Kind, Version Known);
+  /// Whether to keep a watch open; one read is made at the start anyway.
+  void setWatching(bool Watching);
+  /// Reads every document once, now.
+  void readNow();
+  /// Calls made so far: each counts against the platform's budget.
+  std::uint64_t calls() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace thymewall::detail
+
+#endif
--- /dev/null
+++ b/src/request-table.cc
@@ -0,0 +1,23 @@
+#include "thymewall/request-table.h"
+
+#include <algorithm>
+
+namespace thymewall {
+
+void PassRow::store(const Message &M) {
+  Message_ = M;
+  RouteSize_ = static_cast<std::uint16_t>(std::min(M.Route_.Size_, MaxRoute));
+  PayloadSize_ =
+      static_cast<std::uint16_t>(std::min(M.Payload_.Size_, MaxDatagram));
+  std::copy_n(M.Route_.Data_, RouteSize_, Route_.begin());
+  std::copy_n(M.Payload_.Data_, PayloadSize_, Payload_.begin());
+}
+
+Message PassRow::message() const {
+  Message M = Message_;
+  M.Route_ = {Route_.data(), RouteSize_};
+  M.Payload_ = {Payload_.data(), PayloadSize_};
+  return M;
+}
+
+} // namespace thymewall
--- /dev/null
+++ b/src/settings.cc
@@ -0,0 +1,77 @@
+#include "thymewall/settings.h"
+
+#include "json-reader.h"
+
+#include <boost/leaf/error.hpp>
+#include <sodium.h>
+
+namespace thymewall {
+
+namespace {
+
+SecretKey readKey(const detail::Json &Value, const std::string &Path,
+                  detail::ProblemList &Found) {
+  SecretKey Result{};
+  std::size_t Length = 0;
+  std::string Text = Value.is_string() ? Value.get<std::string>() : "";
+  int Failed = sodium_hex2bin(Result.data(), Result.size(), Text.data(),
+                              Text.size(), nullptr, &Length, nullptr);
+  if (Failed != 0 || Length != Result.size() || Text.size() != 2 * Length)
+    Found.add(Path, "must be 32 hexadecimal digits");
+  return Result;
+}
+
+/// One key, or two while the second is being rotated out.
+KeyPair readKeys(detail::ObjectReader &Reader, detail::ProblemList &Found) {
+  KeyPair Result{};
+  const detail::Json &Array = Reader.array("keys");
+  bool RightCount = Array.size() == 1 || Array.size() == 2;
+  if (!RightCount && Reader.has("keys"))
+    Reader.fault("keys", "must hold one key, or two while one is rotated out");
+  if (!RightCount)
+    return Result;
+  for (std::size_t I = 0; I < Array.size(); ++I)
+    Result[I] = readKey(Array[I], "keys[" + std::to_string(I) + "]", Found);
+  if (Array.size() == 1)
+    Result[1] = Result[0];
+  return Result;
+}
+
+} // namespace
+
+boost::leaf::result<Settings> parseSettings(const std::string &Text,
+                                            const std::string &File) {
+  detail::ProblemList Found(File);
+  detail::Json Root = detail::parseJson(Text, Found);
+  if (!Found.empty())
+    return boost::leaf::new_error(Found.all());
+  detail::ObjectReader Reader(Root, "", Found);
+  Settings S;
+  S.Name_ = Reader.string("name");
+  S.DataHall_ = Reader.string("data_hall");
+  S.Callers_ = Reader.endpoint("callers");
+  S.Data_ = Reader.endpoint("data");
+  S.Upstream_ = Reader.endpoint("upstream");
+  S.Control_ = Reader.endpoint("control");
+  S.Status_ = Reader.endpoint("status");
+  S.Platform_ = Reader.endpoint("platform");
+  const detail::Json &Seeds = Reader.array("seeds", false);
+  for (std::size_t I = 0; I < Seeds.size(); ++I) {
+    std::string Value = Seeds[I].is_string() ? Seeds[I].get<std::string>() : "";
+    S.Seeds_.push_back(parseEndpoint(Value));
+    if (S.Seeds_.back().empty())
+      Found.add("seeds[" + std::to_string(I) + "]",
+                "must be an IP number and port");
+  }
+  S.Keys_ = readKeys(Reader, Found);
+  S.WatchersPerHall_ = static_cast<std::uint32_t>(
+      Reader.integerOr("watchers_per_hall", 2, 1, 100));
+  S.PeerLinks_ =
+      static_cast<std::uint32_t>(Reader.integerOr("peer_links", 8, 1, 64));
+  Reader.finish();
+  if (!Found.empty())
+    return boost::leaf::new_error(Found.all());
+  return S;
+}
+
+} // namespace thymewall
--- /dev/null
+++ b/src/status-server.cc
@@ -0,0 +1,140 @@
+#include "status-server.h"
+
+#include <asio/post.hpp>
+#include <future>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace thymewall::detail {
+
+namespace {
+
+using Json = nlohmann::json;
+using Number = std::pair<std::string, std::uint64_t>;
+
+constexpr auto AnswerWithin = std::chrono::seconds(2);
+
+/// Every counter with its name, once, for both renderings.
+std::vector<Number> numbers(const StatusReport &R) {
+  const Counters &C = R.Counters_;
+  static const char *const StepNames[] = {"route", "home", "passed", "refused"};
+  std::vector<Number> Result = {{"flows", R.Status_.Flows_},
+                                {"requests_in_progress", R.Status_.Requests_},
+                                {"passes_in_progress", R.Status_.Passes_},
+                                {"table_bytes", R.Status_.MemoryBytes_},
+                                {"opens", C.Opens_},
+                                {"opened", C.Opened_},
+                                {"requests", C.Requests_},
+                                {"answered", C.Answered_},
+                                {"refused_not_run", C.NotRun_},
+                                {"outcome_unknown", C.OutcomeUnknown_},
+                                {"open_retries", C.Retries_},
+                                {"rehomed", C.Rehomed_},
+                                {"adopted", C.Adopted_},
+                                {"late_wakes", C.LateWakes_}};
+  for (std::size_t I = 0; I < C.Steps_.size(); ++I)
+    Result.emplace_back(std::string("resolved_by_") + StepNames[I],
+                        C.Steps_[I]);
+  for (std::size_t I = 1; I < C.Errors_.size(); ++I)
+    Result.emplace_back(
+        "error_" + std::string(errorRow(static_cast<ErrorKind>(I)).Name_),
+        C.Errors_[I]);
+  Result.insert(Result.end(), R.Numbers_.begin(), R.Numbers_.end());
+  return Result;
+}
+
+std::string nameOf(const StatusReport &R, UpstreamId Id) {
+  if (R.Declaration_)
+    for (const Upstream &U : R.Declaration_->Upstreams_)
+      if (U.Id_ == Id)
+        return U.Name_;
+  return "undeclared-" + std::to_string(raw(Id));
+}
+
+} // namespace
+
+std::string statusJson(const StatusReport &R) {
+  Json Upstreams = Json::array();
+  for (const UpstreamRow &U : R.Status_.Upstreams_)
+    Upstreams.push_back({{"name", nameOf(R, U.Id_)},
+                         {"address", formatEndpoint(U.At_)},
+                         {"own_flows", U.OwnFlows_},
+                         {"in_flight", U.InFlight_},
+                         {"reported_flows", U.ReportedFlows_},
+                         {"declared", U.Declared_},
+                         {"leaving", U.Leaving_},
+                         {"failures", U.Failures_}});
+  Json Numbers = Json::object();
+  for (const Number &N : numbers(R))
+    Numbers[N.first] = N.second;
+  Json Page = {{"name", R.Name_},
+               {"version", R.Status_.InForce_},
+               {"digest", R.Status_.Digest_},
+               {"ready", R.Status_.Ready_},
+               {"stopping", R.Status_.Stopping_},
+               {"counters", std::move(Numbers)},
+               {"upstreams", std::move(Upstreams)}};
+  return Page.dump();
+}
+
+std::string metricsText(const StatusReport &R) {
+  std::string Text;
+  for (const Number &N : numbers(R))
+    Text += "thymewall_" + N.first + " " + std::to_string(N.second) + "\n";
+  Text += "thymewall_version " + std::to_string(R.Status_.InForce_) + "\n";
+  return Text + R.Delays_->prometheus("thymewall_delay_seconds");
+}
+
+class StatusServer::Impl {
+public:
+  Impl(asio::io_context &Context, const Endpoint &Where, Source Reporter)
+      : Context_(Context), Reporter_(std::move(Reporter)) {
+    serve("/status", "application/json", statusJson);
+    serve("/metrics", "text/plain; version=0.0.4", metricsText);
+    serve("/histograms", "application/json",
+          [](const StatusReport &R) { return R.Delays_->json(); });
+    std::string Host = formatEndpoint(Where);
+    Host.resize(Host.rfind(':'));
+    if (!Server_.bind_to_port(Host.c_str(), Where.Port_))
+      throw std::runtime_error("can't bind the status address " +
+                               formatEndpoint(Where));
+    Thread_ = std::thread([this] { Server_.listen_after_bind(); });
+  }
+
+  ~Impl() {
+    Server_.stop();
+    Thread_.join();
+  }
+
+private:
+  using Renderer = std::function<std::string(const StatusReport &)>;
+
+  /// Pages are rendered on the Asio thread, which owns what they show.
+  void serve(const char *Path, const char *Type, Renderer Render) {
+    Server_.Get(Path, [this, Type, Render](const httplib::Request &,
+                                           httplib::Response &Response) {
+      auto Page = std::make_shared<std::promise<std::string>>();
+      auto Ready = Page->get_future();
+      asio::post(Context_, [this, Page, Render] {
+        Page->set_value(Render(Reporter_()));
+      });
+      if (Ready.wait_for(AnswerWithin) == std::future_status::ready)
+        Response.set_content(Ready.get(), Type);
+      else
+        Response.status = 503;
+    });
+  }
+
+  asio::io_context &Context_;
+  Source Reporter_;
+  httplib::Server Server_;
+  std::thread Thread_;
+};
+
+StatusServer::StatusServer(asio::io_context &Context, const Endpoint &Where,
+                           Source Reporter)
+    : Impl_(std::make_unique<Impl>(Context, Where, std::move(Reporter))) {}
+StatusServer::~StatusServer() = default;
+
+} // namespace thymewall::detail
--- /dev/null
+++ b/src/upstream-table.cc
@@ -0,0 +1,184 @@
+#include "thymewall/upstream-table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <xxhash.h>
+
+namespace thymewall {
+
+namespace {
+
+/// A hash as a number in (0, 1].
+double unit(std::uint64_t Hash) {
+  return (static_cast<double>(Hash >> 11) + 1) / 9007199254740992.0;
+}
+
+double score(const Choice &C, const UpstreamRow &Row) {
+  std::uint64_t Name = hashPair(raw(C.Flow_.Service_), raw(Row.Id_));
+  double Uniform = unit(hashPair(raw(C.Flow_.Flow_), Name));
+  return -static_cast<double>(Row.Slots_) / std::log(Uniform);
+}
+
+/// A cold upstream takes a share of its candidates that grows to all of them.
+bool admitsWhileCold(const Choice &C, const UpstreamRow &Row) {
+  if (C.Now_ >= Row.WarmAt_)
+    return true;
+  auto Left = std::chrono::duration<double>(Row.WarmAt_ - C.Now_);
+  auto Whole = std::chrono::duration<double>(UpstreamTable::ColdStart);
+  double Share = 1 - Left / Whole;
+  std::uint64_t Draw = hashPair(raw(C.Flow_.Flow_), ~std::uint64_t{0});
+  return unit(Draw) <= std::max(Share, 0.1);
+}
+
+const UpstreamRow &rowOf(const Choice &C, std::size_t Index) {
+  return C.Rows_[C.Eligible_[Index]];
+}
+
+/// The less loaded of two candidates, by a load given as flows.
+template <typename Function>
+std::size_t chooseTwo(const Choice &C, Function Flows) {
+  auto [First, Second] = candidates(C);
+  const UpstreamRow &A = rowOf(C, First);
+  const UpstreamRow &B = rowOf(C, Second);
+  bool ColdA = !admitsWhileCold(C, A);
+  bool ColdB = !admitsWhileCold(C, B);
+  if (ColdA != ColdB)
+    return ColdA ? Second : First;
+  std::uint64_t LoadA = std::uint64_t{Flows(A)} * B.Slots_;
+  std::uint64_t LoadB = std::uint64_t{Flows(B)} * A.Slots_;
+  return LoadB < LoadA ? Second : First;
+}
+
+} // namespace
+
+std::pair<std::size_t, std::size_t> candidates(const Choice &C) {
+  std::pair<std::size_t, std::size_t> Best{0, 0};
+  double BestScore = -1;
+  double NextScore = -1;
+  for (std::size_t I = 0; I < C.Eligible_.size(); ++I) {
+    double Score = score(C, rowOf(C, I));
+    if (Score > BestScore) {
+      Best.second = Best.first;
+      NextScore = BestScore;
+      Best.first = I;
+      BestScore = Score;
+    } else if (Score > NextScore) {
+      Best.second = I;
+      NextScore = Score;
+    }
+  }
+  return Best;
+}
+
+std::size_t choosePlainHash(const Choice &C) { return candidates(C).first; }
+
+std::size_t chooseTwoOwn(const Choice &C) {
+  return chooseTwo(C, [](const UpstreamRow &R) { return R.OwnFlows_; });
+}
+
+std::size_t chooseTwoReported(const Choice &C) {
+  return chooseTwo(C, [](const UpstreamRow &R) { return R.ReportedFlows_; });
+}
+
+std::size_t UpstreamTable::EndpointHash::operator()(const Endpoint &At) const {
+  return XXH64(At.Address_.data(), At.Address_.size(), At.Port_);
+}
+
+void UpstreamTable::declare(const Declaration &D, MonoTime Now) {
+  for (UpstreamRow &Row : Rows_)
+    Row.Declared_ = false;
+  for (const Upstream &U : D.Upstreams_) {
+    auto [Known, Fresh] =
+        ById_.try_emplace(raw(U.Id_), static_cast<std::uint32_t>(Rows_.size()));
+    if (Fresh) {
+      Rows_.emplace_back();
+      Rows_.back().Id_ = U.Id_;
+      Rows_.back().WarmAt_ = Started_ ? Now + ColdStart : Now;
+    }
+    UpstreamRow &Row = Rows_[Known->second];
+    Row.Declared_ = true;
+    Row.At_ = U.At_;
+    Row.Slots_ = U.Slots_;
+    Row.Remembers_ = U.RemembersRequests_;
+    ByEndpoint_[U.At_] = Known->second;
+  }
+  Started_ = true;
+}
+
+void UpstreamTable::setLeaving(UpstreamId Id, bool Leaving) {
+  std::uint32_t Index = byId(Id);
+  if (Index != None)
+    Rows_[Index].Leaving_ = Leaving;
+}
+
+std::uint32_t UpstreamTable::adopt(UpstreamId Id, const Endpoint &At) {
+  auto Index = static_cast<std::uint32_t>(Rows_.size());
+  Rows_.emplace_back();
+  Rows_.back().Id_ = Id;
+  Rows_.back().At_ = At;
+  ById_[raw(Id)] = Index;
+  ByEndpoint_.try_emplace(At, Index);
+  return Index;
+}
+
+void UpstreamTable::seen(std::uint32_t Index, Incarnation Seen, MonoTime Now) {
+  UpstreamRow &Row = Rows_[Index];
+  if (Row.Incarnation_ == Seen)
+    return;
+  if (Row.Incarnation_ != Incarnation{})
+    Row.WarmAt_ = Now + ColdStart;
+  Row.Incarnation_ = Seen;
+}
+
+void UpstreamTable::succeeded(std::uint32_t Index) {
+  Rows_[Index].Failures_ = 0;
+}
+
+void UpstreamTable::failed(std::uint32_t Index, MonoTime Now, double Jitter) {
+  UpstreamRow &Row = Rows_[Index];
+  if (++Row.Failures_ < FailuresToEject)
+    return;
+  auto Spread = std::chrono::duration_cast<Micros>(Ejection * (0.5 + Jitter));
+  Row.EjectedUntil_ = Now + Spread;
+  Row.Failures_ = 0;
+}
+
+void UpstreamTable::forgetBeliefs() {
+  for (UpstreamRow &Row : Rows_) {
+    Row.Failures_ = 0;
+    Row.EjectedUntil_ = {};
+  }
+}
+
+void UpstreamTable::eligibleNow(const std::vector<std::uint32_t> &Selected,
+                                MonoTime Now,
+                                std::vector<std::uint32_t> &Into) const {
+  Into.clear();
+  std::size_t Present = 0;
+  for (std::uint32_t Index : Selected) {
+    const UpstreamRow &Row = Rows_[Index];
+    if (Row.Leaving_)
+      continue;
+    ++Present;
+    if (Row.EjectedUntil_ <= Now)
+      Into.push_back(Index);
+  }
+  if (2 * Into.size() >= Present)
+    return;
+  Into.clear();
+  for (std::uint32_t Index : Selected)
+    if (!Rows_[Index].Leaving_)
+      Into.push_back(Index);
+}
+
+std::uint32_t UpstreamTable::byId(UpstreamId Id) const {
+  auto Known = ById_.find(raw(Id));
+  return Known == ById_.end() ? None : Known->second;
+}
+
+std::uint32_t UpstreamTable::byEndpoint(const Endpoint &At) const {
+  auto Known = ByEndpoint_.find(At);
+  return Known == ByEndpoint_.end() ? None : Known->second;
+}
+
+} // namespace thymewall
--- /dev/null
+++ b/test/standin/upstream.cc
@@ -0,0 +1,352 @@
+// Stand-in for an upstream: holds flows, runs requests in its slots, refuses
+// beyond its queue, and records what it saw (docs/PROTOCOL.md, "Upstreams").
+#include "app-payload.h"
+#include "program.h"
+#include "udp-socket.h"
+
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <deque>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+using namespace thymewall;
+using namespace thymewall::detail;
+
+namespace {
+
+using Json = nlohmann::json;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+constexpr auto HalfOpenFor = std::chrono::seconds(10);
+constexpr auto SampleEvery = std::chrono::milliseconds(250);
+constexpr auto RefusedRetryAfter = std::chrono::milliseconds(100);
+constexpr std::size_t AnswerSize = 200;
+
+struct Options {
+  std::string Name_;
+  Endpoint At_;
+  std::set<std::uint32_t> Services_;
+  std::size_t Slots_ = 1;
+  std::size_t Queue_ = 64;
+  Micros Work_{};
+  Micros PushEvery_{};
+  bool Remembers_ = false;
+  std::string Record_;
+};
+
+struct Flow {
+  std::uint32_t Service_ = 0;
+  bool Used_ = false; ///< Half open until its first packet.
+  SteadyTime HalfOpenUntil_;
+  Endpoint Balancer_; ///< That the flow's last packet came from.
+  Endpoint Caller_;
+  std::uint32_t Pushes_ = 0;
+};
+
+/// A request with the bytes that its message borrowed.
+struct Job {
+  Message Message_;
+  AppPayload Payload_;
+  Endpoint Balancer_;
+};
+
+std::int64_t wallMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+class UpstreamHost {
+public:
+  UpstreamHost(asio::io_context &Context, Options O)
+      : Context_(Context), Options_(std::move(O)), Sampler_(Context),
+        Pusher_(Context), Signals_(Context, SIGTERM, SIGINT),
+        Socket_(Context, Options_.At_,
+                [this](const Endpoint &From, const std::uint8_t *Data,
+                       std::size_t Size) { receive(From, Data, Size); }) {
+    std::random_device Device;
+    Incarnation_ =
+        static_cast<Incarnation>(std::uint64_t{Device()} << 32 | Device() | 1U);
+    Signals_.async_wait([this](const asio::error_code &, int) {
+      writeRecord();
+      Context_.stop();
+    });
+    sample();
+    if (Options_.PushEvery_ != Micros{0})
+      push();
+  }
+
+private:
+  void receive(const Endpoint &From, const std::uint8_t *Data,
+               std::size_t Size) {
+    Message M;
+    if (decode(Data, Size, M) != ErrorKind::None)
+      return;
+    switch (M.Kind_) {
+    case Kind::Open:
+      return open(From, M);
+    case Kind::Request:
+      return request(From, M);
+    case Kind::Ping:
+      return ping(From, M);
+    case Kind::Close:
+      Flows_.erase(raw(M.Flow_));
+      return;
+    case Kind::Cancel:
+      Cancelled_.insert(M.Attempt_);
+      return;
+    default:
+      return;
+    }
+  }
+
+  void open(const Endpoint &From, const Message &M) {
+    if (Options_.Services_.count(raw(M.Service_)) == 0)
+      return reply(From, M, Kind::Reset);
+    auto [At, Fresh] = Flows_.try_emplace(raw(M.Flow_));
+    if (!Fresh && At->second.Service_ != raw(M.Service_))
+      return reply(From, M, Kind::Reset);
+    Flow &F = At->second;
+    F.Service_ = raw(M.Service_);
+    F.HalfOpenUntil_ = std::chrono::steady_clock::now() + HalfOpenFor;
+    F.Balancer_ = From;
+    F.Caller_ = M.Caller_;
+    reply(From, M, Kind::Opened);
+  }
+
+  /// The flow that a packet belongs to, if we hold it in this incarnation.
+  Flow *holds(const Endpoint &From, const Message &M) {
+    auto Known = Flows_.find(raw(M.Flow_));
+    bool Held = Known != Flows_.end() && M.Incarnation_ == Incarnation_ &&
+                Known->second.Service_ == raw(M.Service_);
+    if (!Held)
+      return nullptr;
+    Flow &F = Known->second;
+    F.Used_ = true;
+    F.Balancer_ = From;
+    F.Caller_ = M.Caller_;
+    return &F;
+  }
+
+  void request(const Endpoint &From, const Message &M) {
+    if (!holds(From, M))
+      return reply(From, M, Kind::Reset);
+    Job J{M, readAppPayload(M.Payload_), From};
+    J.Message_.Payload_ = {};
+    J.Message_.Route_ = {};
+    if (J.Payload_.Service_ != raw(M.Service_))
+      ++WrongService_;
+    bool Once = !M.repeatable();
+    if (Once && Options_.Remembers_ && remembered(J))
+      return;
+    if (Running_ >= Options_.Slots_ && Waiting_.size() >= Options_.Queue_) {
+      ++Refused_;
+      return reply(From, M, Kind::Refused);
+    }
+    if (Once && Options_.Remembers_)
+      Remembered_[M.Epoch_] = M.Attempt_;
+    Waiting_.push_back(std::move(J));
+    startNext();
+  }
+
+  /// True when the request was seen before: its answer goes to the newest
+  /// attempt, now if it is done.
+  bool remembered(const Job &J) {
+    auto Known = Remembered_.find(J.Message_.Epoch_);
+    if (Known == Remembered_.end())
+      return false;
+    Known->second = J.Message_.Attempt_;
+    Newest_[J.Message_.Epoch_] = J;
+    if (Done_.count(J.Message_.Epoch_) != 0)
+      answer(J);
+    return true;
+  }
+
+  void startNext() {
+    if (Running_ >= Options_.Slots_ || Waiting_.empty())
+      return;
+    ++Running_;
+    auto J = std::make_shared<Job>(std::move(Waiting_.front()));
+    Waiting_.pop_front();
+    if (!J->Message_.repeatable())
+      ExecutedOnce_.push_back(J->Payload_.Id_);
+    ++Executed_;
+    std::exponential_distribution<double> Spread(1);
+    auto Work = std::chrono::duration_cast<Micros>(
+        Options_.Work_ * std::min(Spread(Random_), 5.0));
+    auto Timer = std::make_shared<asio::steady_timer>(Context_);
+    Timer->expires_after(Work);
+    Timer->async_wait([this, J, Timer](const asio::error_code &) {
+      --Running_;
+      std::uint64_t Identity = J->Message_.Epoch_;
+      bool Once = !J->Message_.repeatable();
+      auto Newer = Newest_.find(Identity);
+      if (Cancelled_.erase(J->Message_.Attempt_) == 0 || Once)
+        answer(Once && Newer != Newest_.end() ? Newer->second : *J);
+      if (Once && Options_.Remembers_)
+        Done_.insert(Identity);
+      startNext();
+    });
+  }
+
+  void answer(const Job &J) {
+    Message Out = J.Message_;
+    Out.Kind_ = Kind::Answer;
+    Out.Parts_ = std::max<std::uint16_t>(J.Payload_.Parts_, 1);
+    for (std::uint16_t Part = 0; Part < Out.Parts_; ++Part) {
+      std::uint8_t Body[AnswerSize] = {};
+      write({J.Payload_.Id_, raw(J.Message_.Service_), Part}, Body);
+      Out.Part_ = Part;
+      Out.Payload_ = {Body, sizeof Body};
+      send(J.Balancer_, Out);
+    }
+  }
+
+  void ping(const Endpoint &From, const Message &M) {
+    Flow *F = holds(From, M);
+    if (!F)
+      return reply(From, M, Kind::Reset);
+    Message Out = M;
+    Out.Kind_ = Kind::Pong;
+    Out.Request_ = F->Pushes_;
+    send(From, Out);
+    for (std::uint32_t N = M.Request_ + 1; N <= F->Pushes_; ++N)
+      sendPush(raw(M.Flow_), *F, N); // those that the caller has missed
+  }
+
+  void push() {
+    Pusher_.expires_after(Options_.PushEvery_);
+    Pusher_.async_wait([this](const asio::error_code &) {
+      for (auto &[Id, F] : Flows_)
+        if (F.Used_)
+          sendPush(Id, F, ++F.Pushes_);
+      push();
+    });
+  }
+
+  void sendPush(std::uint64_t Id, const Flow &F, std::uint32_t Number) {
+    Message Out;
+    Out.Kind_ = Kind::Push;
+    Out.Service_ = static_cast<ServiceId>(F.Service_);
+    Out.Flow_ = static_cast<FlowId>(Id);
+    Out.Request_ = Number;
+    Out.Caller_ = F.Caller_;
+    send(F.Balancer_, Out);
+  }
+
+  void reply(const Endpoint &To, const Message &M, Kind K) {
+    Message Out = M;
+    Out.Kind_ = K;
+    Out.Payload_ = {};
+    Out.Route_ = {};
+    if (K == Kind::Refused)
+      Out.RetryAt_ =
+          WallTime(std::chrono::milliseconds(wallMs()) + RefusedRetryAfter);
+    send(To, Out);
+  }
+
+  void send(const Endpoint &To, Message &Out) {
+    Out.Incarnation_ = Incarnation_;
+    Out.Load_ = static_cast<std::uint32_t>(Flows_.size());
+    std::uint8_t Buffer[MaxDatagram + MaxHeader];
+    std::size_t Size = encode(Out, Buffer, sizeof Buffer);
+    Socket_.send(To, Buffer, Size);
+  }
+
+  /// Half-open flows end by themselves; the flows of each service are noted.
+  void sample() {
+    auto Now = std::chrono::steady_clock::now();
+    for (auto At = Flows_.begin(); At != Flows_.end();)
+      At = !At->second.Used_ && At->second.HalfOpenUntil_ < Now
+               ? Flows_.erase(At)
+               : std::next(At);
+    std::map<std::uint32_t, std::size_t> Counts;
+    for (const auto &[Id, F] : Flows_)
+      ++Counts[F.Service_];
+    for (const auto &[Service, Number] : Counts)
+      Samples_.push_back({wallMs(), Service, Number});
+    Sampler_.expires_after(SampleEvery);
+    Sampler_.async_wait([this](const asio::error_code &) { sample(); });
+  }
+
+  void writeRecord() {
+    std::ofstream(Options_.Record_) << Json({{"name", Options_.Name_},
+                                             {"slots", Options_.Slots_},
+                                             {"wrong_service", WrongService_},
+                                             {"refused", Refused_},
+                                             {"executed", Executed_},
+                                             {"executed_once", ExecutedOnce_},
+                                             {"samples", Samples_}});
+  }
+
+  struct Sample {
+    std::int64_t WallMs_;
+    std::uint32_t Service_;
+    std::size_t Flows_;
+    friend void to_json(Json &Into, const Sample &S) {
+      Into = Json::array({S.WallMs_, S.Service_, S.Flows_});
+    }
+  };
+
+  asio::io_context &Context_;
+  Options Options_;
+  asio::steady_timer Sampler_;
+  asio::steady_timer Pusher_;
+  asio::signal_set Signals_;
+  std::mt19937 Random_;
+  Incarnation Incarnation_{};
+  std::unordered_map<std::uint64_t, Flow> Flows_;
+  std::deque<Job> Waiting_;
+  std::size_t Running_ = 0;
+  std::unordered_map<std::uint64_t, std::uint64_t> Remembered_;
+  std::unordered_map<std::uint64_t, Job> Newest_;
+  std::set<std::uint64_t> Done_;
+  std::set<std::uint64_t> Cancelled_;
+  std::vector<std::uint64_t> ExecutedOnce_;
+  std::vector<Sample> Samples_;
+  std::uint64_t WrongService_ = 0;
+  std::uint64_t Refused_ = 0;
+  std::uint64_t Executed_ = 0;
+  UdpSocket Socket_;
+};
+
+int run(int Count, char **Values) {
+  cxxopts::Options Arguments("standin-upstream", "Holds flows, runs requests.");
+  Arguments.add_options()("name", "", cxxopts::value<std::string>())(
+      "listen", "IP:PORT", cxxopts::value<std::string>())(
+      "services", "names", cxxopts::value<std::vector<std::string>>())(
+      "slots", "", cxxopts::value<std::size_t>()->default_value("1"))(
+      "queue", "", cxxopts::value<std::size_t>()->default_value("64"))(
+      "work-us", "mean work of a request",
+      cxxopts::value<std::int64_t>()->default_value("2000"))(
+      "push-ms", "0 pushes nothing",
+      cxxopts::value<std::int64_t>()->default_value("0"))(
+      "remembers", "remember requests that may not be repeated")(
+      "record", "file to write at the end", cxxopts::value<std::string>());
+  auto Given = parseArguments(Arguments, Count, Values);
+  Options O;
+  O.Name_ = Given["name"].as<std::string>();
+  O.At_ = parseEndpoint(Given["listen"].as<std::string>());
+  for (const auto &S : Given["services"].as<std::vector<std::string>>())
+    O.Services_.insert(nameId(S));
+  O.Slots_ = Given["slots"].as<std::size_t>();
+  O.Queue_ = Given["queue"].as<std::size_t>();
+  O.Work_ = Micros(Given["work-us"].as<std::int64_t>());
+  O.PushEvery_ = std::chrono::milliseconds(Given["push-ms"].as<std::int64_t>());
+  O.Remembers_ = Given.count("remembers") != 0;
+  O.Record_ = Given["record"].as<std::string>();
+  asio::io_context Context(1);
+  UpstreamHost Host(Context, O);
+  Context.run();
+  return ExitDone;
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  return runProgram([&] { return run(Count, Values); });
+}
