--- a/include/thymewall/balancer.h
+++ b/include/thymewall/balancer.h
@@ -49,12 +49,17 @@
   Endpoint From_;
   PeerDatagram Datagram_;
 };
-/// A valid declaration was read, from the platform or from a peer.
+/// A valid declaration was read, from the platform or from a peer. `Asked_` is
+/// that of the `RereadSources` which the read answers: news that was under way
+/// before a pause does not end it.
 struct DeclarationRead {
   DeclarationPtr Declaration_;
+  std::uint64_t Asked_ = 0;
 };
 /// A source answered that it has nothing newer than what is in force.
-struct SourceConfirmed {};
+struct SourceConfirmed {
+  std::uint64_t Asked_ = 0;
+};
 struct HostListRead {
   HostListPtr HostList_;
 };
@@ -93,7 +98,9 @@
   DeclarationPtr Declaration_;
 };
 /// The process was away; read the platform and the peers again.
-struct RereadSources {};
+struct RereadSources {
+  std::uint64_t Asked_ = 0; ///< To be given back with what is read.
+};
 /// Tell every peer.
 struct TellSuccession {
   Succession Succession_;
--- a/include/thymewall/control.h
+++ b/include/thymewall/control.h
@@ -36,6 +36,11 @@
   Incarnation Incarnation_{};
   bool Leaving_ = false;
   DocumentVersions Versions_{};
+  std::uint64_t Answers_ = 0; ///< The `FreshnessAsked` that it answers.
+};
+/// Asks for a heartbeat made after this was sent.
+struct FreshnessAsked {
+  std::uint64_t Asked_ = 0;
 };
 /// Asks for a document that a heartbeat has shown to be newer.
 struct DocumentWanted {
@@ -48,8 +53,8 @@
 struct SuccessionSent {
   Succession Succession_;
 };
-using ControlMessage =
-    std::variant<Heartbeat, DocumentWanted, DocumentSent, SuccessionSent>;
+using ControlMessage = std::variant<Heartbeat, DocumentWanted, DocumentSent,
+                                    SuccessionSent, FreshnessAsked>;
 
 /// Largest control message: a document and its frame.
 constexpr std::size_t MaxControlMessage = MaxDocument + 1024;
--- a/include/thymewall/message.h
+++ b/include/thymewall/message.h
@@ -85,7 +85,8 @@
   Taken,    ///< The passed request is in the home's hands.
   NotHome,  ///< I am not the home process that the route names.
   Delegate, ///< As `Pass`, from a stopping home that never ran it nor will.
-  Last = Delegate
+  Repeat,   ///< From a stopping home, a copy of what it passed or ran.
+  Last = Repeat
 };
 
 /// A datagram between balancers' data sockets, authenticated by a keyed tag.
--- a/include/thymewall/request-table.h
+++ b/include/thymewall/request-table.h
@@ -41,6 +41,7 @@
   bool Once_ = false;     ///< Not repeatable; this balancer is the home.
   bool Only_ = false;     ///< No other copy was or will be handed on.
   bool NewRoute_ = false; ///< The answer brings the caller a new route.
+  bool Done_ = false;     ///< Kept to swallow copies of an answered request.
   RowLinks Links_;
 
   Key key() const { return Key_; }
--- a/src/balancer-caller.cc
+++ b/src/balancer-caller.cc
@@ -4,6 +4,9 @@
 
 namespace thymewall {
 
+using detail::has;
+using detail::Mechanism;
+
 namespace {
 
 using namespace std::chrono_literals;
@@ -184,7 +187,7 @@
     ++Counters_.Steps_[static_cast<std::size_t>(Step::Route)];
     return forwardRepeatable(M, R);
   }
-  if (isHome(R)) {
+  if (isHome(R) || !has(Mechanism::HomeOnly)) {
     ++Counters_.Steps_[static_cast<std::size_t>(Step::Home)];
     return submit(M, R);
   }
@@ -285,7 +288,8 @@
                             Bytes NewRoute) {
   ++Counters_.Errors_[static_cast<std::size_t>(Why)];
   const ErrorRow &Row = errorRow(Why);
-  bool NotRun = Bound == Answer::NotRun && Row.Answer_ == Answer::NotRun;
+  bool May = Bound == Answer::NotRun || !has(Mechanism::TruthfulNotRun);
+  bool NotRun = May && Row.Answer_ == Answer::NotRun;
   ++(NotRun ? Counters_.NotRun_ : Counters_.OutcomeUnknown_);
   Message Out;
   Out.Kind_ = Kind::Refused;
--- a/src/balancer-home.cc
+++ b/src/balancer-home.cc
@@ -4,6 +4,9 @@
 
 namespace thymewall {
 
+using detail::has;
+using detail::Mechanism;
+
 namespace {
 
 using namespace std::chrono_literals;
@@ -14,7 +17,9 @@
 /// more: the longest deadline (60 s), clock slack and some.
 constexpr std::uint32_t ClosedFlowTicks = 70;
 constexpr Micros ClockSlack = 1s;
-constexpr std::uint32_t PassTryTicks = 5; ///< 25 ms.
+/// A pass is repeated after 20, 40 and 80 ms and given up 80 ms later: beyond
+/// any round trip in a region, well within a request's deadline.
+constexpr std::uint32_t PassTryTicks[] = {4, 8, 16, 16};
 constexpr std::uint8_t MaxPassTries = 4;
 
 } // namespace
@@ -34,6 +39,23 @@
   return Placed;
 }
 
+/// The row of a flow that a route shows to be at \p Upstream. A row that we
+/// made for a repeat of the flow's open, at another upstream, lost that race:
+/// the caller keeps to the first `opened`, so nothing was sent under it.
+FlowRow *Balancer::Impl::homeOf(const FlowKey &Key, std::uint32_t Upstream) {
+  FlowRow *Row = Flows_.find(Key);
+  if (!Row)
+    return becomeHome(Key, Upstream);
+  bool Closed = Row->Upstream_ == UpstreamTable::None;
+  if (Closed || Row->Upstream_ == Upstream)
+    return Row;
+  forgetFlow(*Row);
+  Row->Upstream_ = Upstream;
+  Row->Epoch_ = ++Epochs_;
+  ++Upstreams_[Upstream].OwnFlows_;
+  return Row;
+}
+
 void Balancer::Impl::touch(FlowRow &Row) {
   if (Row.Upstream_ != UpstreamTable::None)
     Flows_.rearm(Row, flowTick(Now_.Mono_) + FlowIdleTicks);
@@ -73,35 +95,42 @@
 /// home. Only here is such a request handed to an upstream.
 void Balancer::Impl::submit(const Message &M, const Route &R) {
   FlowRow *Row = Flows_.find({M.Service_, M.Flow_});
-  if (!Row || Row->Epoch_ != R.Epoch_)
+  bool Lost = !Row || Row->Epoch_ != R.Epoch_;
+  if (Lost && (has(Mechanism::HomeEpoch) && has(Mechanism::HomeOnly)))
     return rehome(M, R, ErrorKind::NumberUsed);
+  if (!Row)
+    Row = becomeHome({M.Service_, M.Flow_}, holder(R));
   submitToRow(*Row, M, R, Origin::Own);
 }
 
 /// True once this process has named its successors: from then on they alone
 /// hand requests on, and only they can say what was not run.
 bool Balancer::Impl::stoppedHandingOn() const {
-  return !StopBySuccessors_.Successors_.empty();
+  return !StopBySuccessors_.Successors_.empty() &&
+         has(Mechanism::StopHandingOn);
 }
 
 void Balancer::Impl::submitToRow(FlowRow &Row, const Message &M, const Route &R,
                                  Origin From) {
   if (Requests_.find({M.Service_, M.Request_, M.Flow_}))
-    return; // a copy; the first one will be answered
+    return; // a copy; the first one is or will be answered
   WallTime Furthest = Now_.Wall_ + LongestDeadlineSeen_ + ClockSlack;
   if (M.Deadline_ > Furthest)
     return refuse(M, ErrorKind::DeadlineTooFar, Answer::OutcomeUnknown);
   std::uint32_t Index = Row.Upstream_;
   bool Closed = Index == UpstreamTable::None;
-  bool Used = Row.numberUsed(M.Request_);
+  bool Used = has(Mechanism::NumberWindow) && Row.numberUsed(M.Request_);
   bool Replays = !Closed && Upstreams_[Index].Remembers_;
+  if (Used && From == Origin::Own && stoppedHandingOn())
+    return delegate(M, R, PeerKind::Repeat);
   if (Used && !Replays)
     return refuse(M, ErrorKind::NumberUsed, Answer::OutcomeUnknown);
   Row.useNumber(M.Request_);
   touch(Row);
-  bool Only = !Used && From != Origin::Replayed;
-  if (Only && From == Origin::Own && stoppedHandingOn())
-    return delegate(M, R);
+  // Where the upstream remembers, other balancers may send it a copy too.
+  bool Only = !Used && !Replays;
+  if (!Used && From == Origin::Own && stoppedHandingOn())
+    return delegate(M, R, PeerKind::Delegate);
   Answer Bound = Only ? Answer::NotRun : Answer::OutcomeUnknown;
   if (Closed || holder(R) != Index)
     return refuse(M, ErrorKind::FlowUnknown, Bound);
@@ -134,7 +163,7 @@
   Row.Kind_ = Kind;
   Row.Tries_ = 1;
   Row.store(M);
-  if (!Passes_.insert(Row, requestTick(Now_.Mono_) + PassTryTicks))
+  if (!Passes_.insert(Row, requestTick(Now_.Mono_) + PassTryTicks[0]))
     return refuse(M, ErrorKind::Overloaded, Answer::OutcomeUnknown);
   toPeer(Home, Kind, M);
 }
@@ -146,8 +175,8 @@
       SuspectHomes_.push_back(Row.Home_);
       return givePassUp(Row, ErrorKind::HomeUnreachable);
     }
+    Passes_.rearm(Row, Tick + PassTryTicks[Row.Tries_]);
     ++Row.Tries_;
-    Passes_.rearm(Row, Tick + PassTryTicks);
     toPeer(Row.Home_, Row.Kind_, Row.message());
   });
 }
@@ -165,13 +194,10 @@
 /// upstream that remembers requests is asked again; it runs none twice.
 void Balancer::Impl::rehome(const Message &M, const Route &R, ErrorKind Why) {
   FlowKey Key{M.Service_, M.Flow_};
-  FlowRow *Row = Flows_.find(Key);
   std::uint32_t Index = holder(R);
   bool Gone = Index == UpstreamTable::None;
-  if (!Row && !Gone && !Stopping_) {
-    Row = becomeHome(Key, Index);
-    ++Counters_.Rehomed_;
-  }
+  FlowRow *Row = Gone || Stopping_ ? nullptr : homeOf(Key, Index);
+  ++Counters_.Rehomed_;
   if (!Row || Row->Upstream_ == UpstreamTable::None)
     return refuse(M, Why, Answer::OutcomeUnknown);
   if (Row->Upstream_ == Index && Upstreams_[Index].Remembers_)
@@ -187,6 +213,7 @@
   switch (E.Datagram_.Kind_) {
   case PeerKind::Pass:
   case PeerKind::Delegate:
+  case PeerKind::Repeat:
     return onPassed(M, E.From_, E.Datagram_.Kind_);
   case PeerKind::Taken:
     if (Row && Row->Home_ == E.From_)
@@ -201,6 +228,23 @@
   }
 }
 
+void Balancer::Impl::confirm(const Message &M, const Endpoint &To,
+                             PeerKind Kind) {
+  Message Receipt;
+  Receipt.Service_ = M.Service_;
+  Receipt.Flow_ = M.Flow_;
+  Receipt.Request_ = M.Request_;
+  toPeer(To, Kind, Receipt);
+}
+
+/// A stopping home had this number before: either it ran the request, or it
+/// delegated it to us and we may be running it now.
+void Balancer::Impl::onRepeated(const Message &M, const Endpoint &From) {
+  confirm(M, From, PeerKind::Taken);
+  if (!Requests_.find({M.Service_, M.Request_, M.Flow_}))
+    refuse(M, ErrorKind::NumberUsed, Answer::OutcomeUnknown);
+}
+
 void Balancer::Impl::onPassed(const Message &M, const Endpoint &From,
                               PeerKind Kind) {
   if (M.Kind_ == Kind::Open)
@@ -218,17 +262,15 @@
   }
   if (M.Kind_ != Kind::Request || M.repeatable())
     return drop(ErrorKind::Malformed);
+  if (Kind == PeerKind::Repeat)
+    return onRepeated(M, From);
   bool Delegated = Kind == PeerKind::Delegate;
   const Succession *S = successionOf(R);
   bool Mine = S && successorOf(*S, {M.Service_, M.Flow_}).Incarnation_ ==
                        Options_.Incarnation_;
   bool Adopts = Delegated || (Mine && mayAdopt(M, R));
-  Message Receipt;
-  Receipt.Service_ = M.Service_;
-  Receipt.Flow_ = M.Flow_;
-  Receipt.Request_ = M.Request_;
   bool Accepts = isHome(R) || Adopts;
-  toPeer(From, Accepts ? PeerKind::Taken : PeerKind::NotHome, Receipt);
+  confirm(M, From, Accepts ? PeerKind::Taken : PeerKind::NotHome);
   if (isHome(R))
     return submit(M, R);
   if (Adopts)
--- a/src/balancer-impl.h
+++ b/src/balancer-impl.h
@@ -8,6 +8,7 @@
 #ifndef THYMEWALL_SRC_BALANCER_IMPL_H
 #define THYMEWALL_SRC_BALANCER_IMPL_H
 
+#include "mechanism.h"
 #include "thymewall/balancer.h"
 #include "thymewall/request-table.h"
 
@@ -113,10 +114,12 @@
   void relayToCaller(const Message &M);
   RequestRow *attemptOf(const Message &M, std::uint32_t Upstream);
   void finish(RequestRow &Row);
+  void settle(RequestRow &Row);
 
   // Homes (balancer-home.cc).
   bool isHome(const Route &R) const { return R.Home_ == Options_.Incarnation_; }
   FlowRow *becomeHome(const FlowKey &Key, std::uint32_t Upstream);
+  FlowRow *homeOf(const FlowKey &Key, std::uint32_t Upstream);
   void touch(FlowRow &Row);
   void closeRow(FlowRow &Row);
   void forgetFlow(FlowRow &Row);
@@ -127,6 +130,8 @@
   void pass(const Message &M, const Route &R, const Endpoint &Home,
             PeerKind Kind);
   void rehome(const Message &M, const Route &R, ErrorKind Why);
+  void confirm(const Message &M, const Endpoint &To, PeerKind Kind);
+  void onRepeated(const Message &M, const Endpoint &From);
   void onPassed(const Message &M, const Endpoint &From, PeerKind Kind);
   void givePassUp(PassRow &Row, ErrorKind Why);
 
@@ -135,7 +140,7 @@
   const Succession *successionOf(const Route &R) const;
   bool mayAdopt(const Message &M, const Route &R) const;
   void adopt(const Message &M, const Route &R);
-  void delegate(const Message &M, const Route &R);
+  void delegate(const Message &M, const Route &R, PeerKind Kind);
   void checkStopped();
   const Peer *openSuccessor(const FlowKey &Flow) const;
 
@@ -165,6 +170,7 @@
   MonoTime StopBy_{};
   WallTime NextSelectAt_{};
   std::uint64_t Attempts_ = 0;
+  std::uint64_t Asked_ = 0; ///< Counts `RereadSources`.
   std::uint32_t Epochs_ = 0;
   bool Fresh_ = false;
   bool Stopping_ = false;
--- a/src/balancer-process.cc
+++ b/src/balancer-process.cc
@@ -21,6 +21,9 @@
 
 namespace {
 
+/// News that no `RereadSources` asked for: enough for a process that has just
+/// started, not for one that has woken late.
+constexpr std::uint64_t Unasked = 0;
 constexpr auto WatchReviewEvery = std::chrono::seconds(1);
 
 Moment now() {
@@ -88,8 +91,9 @@
 
   void onPlatform(const PlatformAnswer &Answer);
   void onDocument(DocumentKind Kind, const std::string &Text,
-                  const std::string &Source);
-  void onDeclaration(const std::string &Text, const std::string &Source);
+                  const std::string &Source, std::uint64_t Asked);
+  void onDeclaration(const std::string &Text, const std::string &Source,
+                     std::uint64_t Asked);
   void onHosts(const std::string &Text, const std::string &Source);
   ControlHooks controlHooks();
   void tick();
@@ -114,6 +118,7 @@
   DeclarationPtr Declaration_;
   HostListPtr Hosts_;
   std::uint64_t Undecoded_ = 0;
+  std::uint64_t Asked_ = 0; ///< By the last `RereadSources`.
   StatusServer Status_;
 };
 
@@ -237,9 +242,11 @@
            {{"version", std::to_string(Declaration_->Version_)}});
 }
 
-void BalancerProcess::Impl::act(const RereadSources &) {
+void BalancerProcess::Impl::act(const RereadSources &A) {
   logState("late_wake", {});
-  Platform_.readNow();
+  Asked_ = A.Asked_;
+  Platform_.readNow(A.Asked_);
+  Control_.askFreshness(A.Asked_);
 }
 
 void BalancerProcess::Impl::act(const TellSuccession &A) {
@@ -254,22 +261,24 @@
 void BalancerProcess::Impl::onPlatform(const PlatformAnswer &Answer) {
   if (Answer.Text_.empty()) {
     if (Answer.Kind_ == DocumentKind::Declaration)
-      give(SourceConfirmed{});
+      give(SourceConfirmed{Answer.Asked_});
     return;
   }
-  onDocument(Answer.Kind_, Answer.Text_, "platform");
+  onDocument(Answer.Kind_, Answer.Text_, "platform", Answer.Asked_);
 }
 
 void BalancerProcess::Impl::onDocument(DocumentKind Kind,
                                        const std::string &Text,
-                                       const std::string &Source) {
+                                       const std::string &Source,
+                                       std::uint64_t Asked) {
   if (Kind == DocumentKind::Declaration)
-    return onDeclaration(Text, Source);
+    return onDeclaration(Text, Source, Asked);
   onHosts(Text, Source);
 }
 
 void BalancerProcess::Impl::onDeclaration(const std::string &Text,
-                                          const std::string &Source) {
+                                          const std::string &Source,
+                                          std::uint64_t Asked) {
   auto Refused = [](const Problems &Found) {
     logState("declaration_refused", {{"count", std::to_string(Found.size())},
                                      {"first", format(Found.front())}});
@@ -277,7 +286,7 @@
   boost::leaf::try_handle_all(
       [&]() -> boost::leaf::result<void> {
         BOOST_LEAF_AUTO(Read, parseDeclaration(Text, Source, zoneClock()));
-        give(DeclarationRead{Read});
+        give(DeclarationRead{Read, Asked});
         return {};
       },
       Refused, [] { logState("declaration_refused", {}); });
@@ -312,12 +321,17 @@
                   M.Incarnation_, M.Leaving_});
   };
   Hooks.OnDocument_ = [this](DocumentKind Kind, const std::string &Text) {
-    onDocument(Kind, Text, "peer");
+    // A peer's document is taken as fresh once the peers are asked again.
+    onDocument(Kind, Text, "peer", Unasked);
+    if (!Core_.status().Ready_)
+      Control_.askFreshness(Asked_);
   };
   Hooks.OnSuccession_ = [this](const Succession &S) {
     give(SuccessionRead{S});
   };
-  Hooks.OnConfirmed_ = [this] { give(SourceConfirmed{}); };
+  Hooks.OnConfirmed_ = [this](std::uint64_t Asked) {
+    give(SourceConfirmed{Asked});
+  };
   return Hooks;
 }
 
--- a/src/balancer-succession.cc
+++ b/src/balancer-succession.cc
@@ -4,6 +4,9 @@
 
 namespace thymewall {
 
+using detail::has;
+using detail::Mechanism;
+
 namespace {
 
 using namespace std::chrono_literals;
@@ -52,31 +55,29 @@
 /// it has not expired, so that our own memory of it can't have been dropped.
 bool Balancer::Impl::mayAdopt(const Message &M, const Route &R) const {
   const Succession *S = successionOf(R);
-  return S && M.Deadline_ > S->Fence_ && M.Deadline_ > Now_.Wall_;
+  return S && (M.Deadline_ > S->Fence_ || !has(Mechanism::Fence)) &&
+         M.Deadline_ > Now_.Wall_;
 }
 
 /// Runs a request of a flow whose home has stopped, under our own epoch. The
 /// answer brings the caller its new route.
 void Balancer::Impl::adopt(const Message &M, const Route &R) {
-  FlowKey Key{M.Service_, M.Flow_};
-  FlowRow *Row = Flows_.find(Key);
   std::uint32_t Index = holder(R);
   if (Index == UpstreamTable::None)
     return refuse(M, ErrorKind::FlowUnknown, Answer::OutcomeUnknown);
-  if (!Row) {
-    Row = becomeHome(Key, Index);
-    ++Counters_.Adopted_;
-  }
+  FlowRow *Row = homeOf({M.Service_, M.Flow_}, Index);
+  ++Counters_.Adopted_;
   if (!Row)
     return refuse(M, ErrorKind::Overloaded, Answer::OutcomeUnknown);
   submitToRow(*Row, M, R, Origin::Adopted);
 }
 
-/// A stopping home passes a request that it has never run to the successor, and
-/// will never run it: its number is used from now on.
-void Balancer::Impl::delegate(const Message &M, const Route &R) {
+/// A stopping home passes a request to its successor: as `Delegate` one that it
+/// has never run nor will (its number is used from now on), as `Repeat` a copy
+/// of one that it or the successor had before.
+void Balancer::Impl::delegate(const Message &M, const Route &R, PeerKind Kind) {
   const Successor &Next = successorOf(StopBySuccessors_, {M.Service_, M.Flow_});
-  pass(M, R, Next.Data_, PeerKind::Delegate);
+  pass(M, R, Next.Data_, Kind);
 }
 
 /// A peer to place the flows that still arrive here while we stop.
--- a/src/balancer-upstream.cc
+++ b/src/balancer-upstream.cc
@@ -2,6 +2,17 @@
 
 namespace thymewall {
 
+using detail::has;
+using detail::Mechanism;
+
+namespace {
+
+/// Longer than copies of one datagram are apart, shorter than a caller waits
+/// before it asks again.
+constexpr Micros CopiesFor = std::chrono::milliseconds(150);
+
+} // namespace
+
 void Balancer::Impl::on(const FromUpstream &E) {
   const Message &M = E.Message_;
   std::uint32_t Index = Upstreams_.byEndpoint(E.From_);
@@ -31,7 +42,9 @@
 RequestRow *Balancer::Impl::attemptOf(const Message &M,
                                       std::uint32_t Upstream) {
   RequestRow *Row = Requests_.find({M.Service_, M.Request_, M.Flow_});
-  if (Row && Row->Attempt_ == M.Attempt_ && Row->Upstream_ == Upstream)
+  bool Same = Row && !Row->Done_ &&
+              (Row->Attempt_ == M.Attempt_ || !has(Mechanism::AttemptMatch));
+  if (Same && Row->Upstream_ == Upstream)
     return Row;
   drop(ErrorKind::LateAnswer);
   return nullptr;
@@ -42,6 +55,16 @@
   Requests_.erase(Row);
 }
 
+/// Ends a request whose last part went to the caller. A copy of it that comes
+/// soon is the network's or crossed the answer, and is not told anything else.
+void Balancer::Impl::settle(RequestRow &Row) {
+  if (!Row.Once_)
+    return finish(Row);
+  --Upstreams_[Row.Upstream_].InFlight_;
+  Row.Done_ = true;
+  Requests_.rearm(Row, requestTick(Now_.Mono_ + CopiesFor));
+}
+
 void Balancer::Impl::onOpened(const Message &M, std::uint32_t Upstream) {
   RequestRow *Row = attemptOf(M, Upstream);
   if (!Row || M.Request_ != 0)
@@ -107,7 +130,7 @@
     Options_.OnDelay_(
         M.Service_, Row->Once_ ? RequestClass::Once : RequestClass::Repeatable,
         Now_.Mono_ - Row->Sent_);
-  finish(*Row);
+  settle(*Row);
 }
 
 /// An upstream refuses before it starts. Where the home of a request has handed
--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -5,6 +5,9 @@
 
 namespace thymewall {
 
+using detail::has;
+using detail::Mechanism;
+
 namespace {
 
 using namespace std::chrono_literals;
@@ -40,7 +43,7 @@
 /// Every event checks the clock, because the first one after a pause may be a
 /// datagram that has waited in a socket since before it.
 void Balancer::Impl::noticeLateWake() {
-  if (Now_.Mono_ < NextTickBy_ + LateAfter)
+  if (Now_.Mono_ < NextTickBy_ + LateAfter || !has(Mechanism::LateWake))
     return;
   NextTickBy_ = Now_.Mono_ + TickEvery;
   ++Counters_.LateWakes_;
@@ -50,7 +53,7 @@
   Peers_.clear();
   SuspectHomes_.clear();
   NextSelectAt_ = {};
-  (*Sink_)(RereadSources{});
+  (*Sink_)(RereadSources{++Asked_});
 }
 
 bool Balancer::Impl::ready() const {
@@ -87,8 +90,9 @@
 }
 
 void Balancer::Impl::on(const DeclarationRead &E) {
-  Fresh_ = true;
-  if (Declaration_ && !supersedes(*E.Declaration_, *Declaration_))
+  Fresh_ = Fresh_ || E.Asked_ == Asked_;
+  bool Newer = !Declaration_ || supersedes(*E.Declaration_, *Declaration_);
+  if (!Newer && has(Mechanism::Monotonic))
     return;
   Declaration_ = E.Declaration_;
   Upstreams_.declare(*Declaration_, Now_.Mono_);
@@ -106,7 +110,9 @@
   (*Sink_)(InForce{Declaration_});
 }
 
-void Balancer::Impl::on(const SourceConfirmed &) { Fresh_ = true; }
+void Balancer::Impl::on(const SourceConfirmed &E) {
+  Fresh_ = Fresh_ || E.Asked_ == Asked_;
+}
 
 void Balancer::Impl::on(const HostListRead &E) {
   if (HostList_ && E.HostList_->Version_ <= HostList_->Version_)
@@ -187,6 +193,8 @@
 /// tried at another upstream first.
 void Balancer::Impl::expireRequests() {
   Requests_.expire(requestTick(Now_.Mono_), [this](RequestRow &Row) {
+    if (Row.Done_)
+      return;
     Upstreams_.failed(Row.Upstream_, Now_.Mono_, draw());
     if (Row.Key_.Number_ == 0) {
       retryOpen(Row, ErrorKind::NoAnswer);
--- a/src/control-plane.cc
+++ b/src/control-plane.cc
@@ -62,6 +62,7 @@
   void setDocument(DocumentKind Kind, const DocumentVersion &Which,
                    std::string Text);
   void setLeaving();
+  void askFreshness(std::uint64_t Asked);
   void tell(const Succession &S);
   std::vector<std::string> silentPeers() const;
   ControlCounters counters() const;
@@ -76,6 +77,7 @@
   void receive(const Handle &Which, const DocumentWanted &M);
   void receive(const Handle &Which, const DocumentSent &M);
   void receive(const Handle &Which, const SuccessionSent &M);
+  void receive(const Handle &Which, const FreshnessAsked &M);
   void send(const Handle &Which, const ControlMessage &M);
   void sendAll(const ControlMessage &M);
   Heartbeat heartbeat() const;
@@ -183,8 +185,14 @@
       Newer = true;
       send(Which, DocumentWanted{static_cast<DocumentKind>(K)});
     }
-  if (!Newer)
-    Hooks_.OnConfirmed_();
+  if (!Newer && M.Answers_ != 0)
+    Hooks_.OnConfirmed_(M.Answers_);
+}
+
+void ControlPlane::Impl::receive(const Handle &Which, const FreshnessAsked &M) {
+  Heartbeat Answer = heartbeat();
+  Answer.Answers_ = M.Asked_;
+  send(Which, Answer);
 }
 
 void ControlPlane::Impl::receive(const Handle &Which, const DocumentWanted &M) {
@@ -305,6 +313,10 @@
   sendAll(heartbeat());
 }
 
+void ControlPlane::Impl::askFreshness(std::uint64_t Asked) {
+  sendAll(FreshnessAsked{Asked});
+}
+
 void ControlPlane::Impl::tell(const Succession &S) {
   if (Successions_.size() == MaxSuccessionsKept)
     Successions_.erase(Successions_.begin());
@@ -346,6 +358,9 @@
   Impl_->setDocument(Kind, Which, std::move(Text));
 }
 void ControlPlane::setLeaving() { Impl_->setLeaving(); }
+void ControlPlane::askFreshness(std::uint64_t Asked) {
+  Impl_->askFreshness(Asked);
+}
 void ControlPlane::tell(const Succession &S) { Impl_->tell(S); }
 std::vector<std::string> ControlPlane::silentPeers() const {
   return Impl_->silentPeers();
--- a/src/control-plane.h
+++ b/src/control-plane.h
@@ -19,8 +19,8 @@
   std::function<void(const Heartbeat &)> OnHeartbeat_;
   std::function<void(DocumentKind, const std::string &Text)> OnDocument_;
   std::function<void(const Succession &)> OnSuccession_;
-  /// A peer showed that it has nothing newer than we have.
-  std::function<void()> OnConfirmed_;
+  /// A peer showed, after it was asked, that it has nothing newer than we have.
+  std::function<void(std::uint64_t Asked)> OnConfirmed_;
 };
 
 /// Totals since the start; bytes are those of messages, without framing.
@@ -43,6 +43,8 @@
   void setDocument(DocumentKind Kind, const DocumentVersion &Which,
                    std::string Text);
   void setLeaving();
+  /// Asks every peer for what it has now; `OnConfirmed_` tells who agrees.
+  void askFreshness(std::uint64_t Asked);
   /// Sends a succession to every link, and on every link that opens later.
   void tell(const Succession &S);
   /// Listed balancers in our data hall that no link has heard of late.
--- a/src/control.cc
+++ b/src/control.cc
@@ -13,16 +13,29 @@
 constexpr std::size_t TagSize = crypto_shorthash_siphashx24_BYTES;
 constexpr std::size_t MaxSuccessors = 64;
 
-enum class Type : std::uint8_t { Heartbeat = 1, Wanted, Sent, Succession };
+enum class Type : std::uint8_t {
+  Heartbeat = 1,
+  Wanted,
+  Sent,
+  Succession,
+  Asked
+};
 
 Json toJson(const Heartbeat &M) {
   Json Versions = Json::array();
   for (const DocumentVersion &V : M.Versions_)
     Versions.push_back({V.Version_, V.Digest_});
-  return {raw(Type::Heartbeat), M.Name_,    formatEndpoint(M.Data_),
-          raw(M.Incarnation_),  M.Leaving_, Versions};
+  return {raw(Type::Heartbeat),
+          M.Name_,
+          formatEndpoint(M.Data_),
+          raw(M.Incarnation_),
+          M.Leaving_,
+          Versions,
+          M.Answers_};
 }
 
+Json toJson(const FreshnessAsked &M) { return {raw(Type::Asked), M.Asked_}; }
+
 Json toJson(const DocumentWanted &M) {
   return {raw(Type::Wanted), raw(M.Kind_)};
 }
@@ -69,6 +82,7 @@
   for (std::size_t I = 0; I < DocumentKinds; ++I)
     M.Versions_[I] = {J.at(5).at(I).at(0).get<Version>(),
                       J.at(5).at(I).at(1).get<std::uint64_t>()};
+  M.Answers_ = J.at(6).get<std::uint64_t>();
   return M;
 }
 
@@ -96,6 +110,8 @@
     return DocumentSent{kindFrom(J.at(1)), J.at(2).get<std::string>()};
   case Type::Succession:
     return successionFrom(J);
+  case Type::Asked:
+    return FreshnessAsked{J.at(1).get<std::uint64_t>()};
   }
   throw OutOfRange();
 }
--- a/src/load-run.cc
+++ b/src/load-run.cc
@@ -6,6 +6,7 @@
 #include "udp-socket.h"
 
 #include <asio/steady_timer.hpp>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <unordered_map>
@@ -38,8 +39,8 @@
   SteadyTime ResendAt_;
   SteadyTime GiveUpAt_;
   WallTime Deadline_{};
-  std::uint64_t Attempt_ = 0; ///< Whose parts are being gathered.
-  std::uint64_t PartsSeen_ = 0;
+  /// Bits of the parts seen, by attempt: two attempts may arrive interleaved.
+  std::map<std::uint64_t, std::uint64_t> PartsSeen_;
 };
 
 struct CallerFlow {
@@ -350,16 +351,13 @@
     ++Totals_.WrongService_;
   if (Body.Id_ != P.Id_ || Body.Parts_ != M.Part_)
     ++Totals_.MixedParts_;
-  if (P.Attempt_ != M.Attempt_) {
-    P.Attempt_ = M.Attempt_;
-    P.PartsSeen_ = 0;
-  }
-  P.PartsSeen_ |= std::uint64_t{1} << M.Part_;
+  std::uint64_t &Seen = P.PartsSeen_[M.Attempt_];
+  Seen |= std::uint64_t{1} << M.Part_;
   keep(F.Route_, M.Route_);
   std::uint16_t Parts = std::max<std::uint16_t>(M.Parts_, 1);
   std::uint64_t All =
       Parts == MaxParts ? ~std::uint64_t{0} : (std::uint64_t{1} << Parts) - 1;
-  if (P.PartsSeen_ != All)
+  if (Seen != All)
     return;
   ++Totals_.Answered_;
   if (P.Once_)
--- /dev/null
+++ b/src/mechanism.h
@@ -0,0 +1,33 @@
+/// \file
+/// Lets a proof build the core without one of its mechanisms, to show that the
+/// tests then fail (support/prove). A normal build has them all.
+#ifndef THYMEWALL_SRC_MECHANISM_H
+#define THYMEWALL_SRC_MECHANISM_H
+
+#ifndef THYMEWALL_WITHOUT
+#define THYMEWALL_WITHOUT None
+#endif
+
+namespace thymewall::detail {
+
+enum class Mechanism {
+  None,
+  HomeOnly,       ///< Only the home hands on what may not be repeated.
+  NumberWindow,   ///< The home's memory of used request numbers.
+  HomeEpoch,      ///< A lost flow row is noticed.
+  Fence,          ///< A successor adopts only what the old home never had.
+  StopHandingOn,  ///< A stopped home delegates.
+  AttemptMatch,   ///< Answers belong to one hand-over.
+  TruthfulNotRun, ///< `Not run` is lowered where it can't be known.
+  RouteTag,       ///< Routes are authenticated for service and flow.
+  Monotonic,      ///< A declaration never gives way to an earlier one.
+  LateWake,       ///< A process that was away rereads first.
+  Leaving         ///< Leaving upstreams are no candidates.
+};
+
+constexpr Mechanism Without = Mechanism::THYMEWALL_WITHOUT;
+constexpr bool has(Mechanism Which) { return Which != Without; }
+
+} // namespace thymewall::detail
+
+#endif
--- a/src/platform-client.cc
+++ b/src/platform-client.cc
@@ -55,7 +55,8 @@
     Changed_.notify_all();
   }
 
-  void readNow() {
+  void readNow(std::uint64_t Asked) {
+    Asked_ = Asked;
     {
       std::lock_guard<std::mutex> Guard(Mutex_);
       ReadNow_.fill(true);
@@ -91,6 +92,8 @@
 
   bool call(std::size_t Kind, bool Wait) {
     ++Calls_;
+    PlatformAnswer Answer;
+    Answer.Asked_ = Asked_;
     auto WaitMs = std::chrono::milliseconds(Wait ? WatchFor : 0s).count();
     std::string Path = std::string(Paths[Kind]) +
                        "?after=" + std::to_string(Known_[Kind]) +
@@ -98,7 +101,6 @@
     auto Result = Clients_[Kind]->Get(Path.c_str());
     if (!Result || (Result->status != 200 && Result->status != 204))
       return false;
-    PlatformAnswer Answer;
     Answer.Kind_ = static_cast<DocumentKind>(Kind);
     if (Result->status == 200)
       Answer.Text_ = Result->body;
@@ -117,6 +119,7 @@
   std::array<std::string, DocumentKinds> Last_; ///< Own thread's only.
   std::array<std::atomic<Version>, DocumentKinds> Known_{};
   std::atomic<std::uint64_t> Calls_{0};
+  std::atomic<std::uint64_t> Asked_{0};
   std::mutex Mutex_;
   std::condition_variable Changed_;
   std::array<bool, DocumentKinds> ReadNow_{true, true};
@@ -135,7 +138,7 @@
 void PlatformClient::setWatching(bool Watching) {
   Impl_->setWatching(Watching);
 }
-void PlatformClient::readNow() { Impl_->readNow(); }
+void PlatformClient::readNow(std::uint64_t Asked) { Impl_->readNow(Asked); }
 std::uint64_t PlatformClient::calls() const { return Impl_->calls(); }
 
 } // namespace thymewall::detail
--- a/src/platform-client.h
+++ b/src/platform-client.h
@@ -15,7 +15,8 @@
 /// What the platform said about one document.
 struct PlatformAnswer {
   DocumentKind Kind_ = DocumentKind::Declaration;
-  std::string Text_; ///< Empty when there is nothing newer.
+  std::string Text_;        ///< Empty when there is nothing newer.
+  std::uint64_t Asked_ = 0; ///< Of the last `readNow` before the call.
 };
 
 class PlatformClient {
@@ -31,7 +32,7 @@
   /// Whether to keep a watch open; one read is made at the start anyway.
   void setWatching(bool Watching);
   /// Reads every document once, now.
-  void readNow();
+  void readNow(std::uint64_t Asked);
   /// Calls made so far: each counts against the platform's budget.
   std::uint64_t calls() const;
 
--- a/src/route.cc
+++ b/src/route.cc
@@ -1,5 +1,7 @@
 #include "thymewall/route.h"
 
+#include "mechanism.h"
+
 #include <cstring>
 #include <sodium.h>
 
@@ -96,7 +98,7 @@
     makeTag(Sealed.Data_, Service, Flow, Secret, Tag);
     Known = Known || sodium_memcmp(Tag, Sealed.Data_ + BodySize, TagSize) == 0;
   }
-  if (!Known)
+  if (!Known && detail::has(detail::Mechanism::RouteTag))
     return ErrorKind::ForgedRoute;
   Cursor<const std::uint8_t> C(Sealed.Data_);
   C.get<std::uint8_t>();
--- a/src/upstream-table.cc
+++ b/src/upstream-table.cc
@@ -1,5 +1,7 @@
 #include "thymewall/upstream-table.h"
 
+#include "mechanism.h"
+
 #include <algorithm>
 #include <cmath>
 #include <xxhash.h>
@@ -157,7 +159,7 @@
   std::size_t Present = 0;
   for (std::uint32_t Index : Selected) {
     const UpstreamRow &Row = Rows_[Index];
-    if (Row.Leaving_)
+    if (Row.Leaving_ && detail::has(detail::Mechanism::Leaving))
       continue;
     ++Present;
     if (Row.EjectedUntil_ <= Now)
--- /dev/null
+++ b/test/balancer-test.cc
@@ -0,0 +1,438 @@
+// Focused decisions of one core, and the harness example of balancer.h.
+#include "thymewall/balancer.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <new>
+#include <optional>
+
+using namespace thymewall;
+using std::chrono::milliseconds;
+
+namespace {
+
+std::size_t Allocations = 0;
+
+} // namespace
+
+void *operator new(std::size_t Size) {
+  ++Allocations;
+  if (void *Memory = std::malloc(Size))
+    return Memory;
+  throw std::bad_alloc();
+}
+void operator delete(void *Memory) noexcept { std::free(Memory); }
+void operator delete(void *Memory, std::size_t) noexcept { std::free(Memory); }
+
+namespace {
+
+const Endpoint Caller = Endpoint::v4(1, 1000);
+const Endpoint Peer = Endpoint::v4(3, 7100);
+const SecretKey Secret = {1, 2, 3};
+const ServiceId Index = static_cast<ServiceId>(nameId("index"));
+
+ZoneClock noZones() {
+  return [](const std::string &, WallTime) { return LocalMinute{}; };
+}
+
+DeclarationPtr declaration(int Version, int Upstreams,
+                           const std::string &Extra = "") {
+  std::string Text = "{\"version\": " + std::to_string(Version) +
+                     R"(, "services": [{"name": "index", "port": 1,)" + Extra +
+                     R"( "deadline_ms": 1000}], "upstreams": [)";
+  for (int I = 0; I < Upstreams; ++I)
+    Text += std::string(I == 0 ? "" : ",") + R"({"name": "up-)" +
+            std::to_string(I) + R"(", "address": "10.0.0.)" +
+            std::to_string(I + 1) + R"(:9000", "data_hall": "h"})";
+  Text += R"(], "selectors": [{"service": "index",)"
+          R"( "terms": [{"key": "off", "op": "absent"}]}]})";
+  return boost::leaf::try_handle_all(
+      [&] { return parseDeclaration(Text, "test", noZones()); },
+      [] { return DeclarationPtr(); });
+}
+
+/// One core, the time, and what it last sent to each side.
+class Bench {
+public:
+  explicit Bench(std::uint64_t Self = 42, DeclarationPtr D = declaration(1, 2))
+      : Core_(BalancerBuilder()
+                  .name("lb")
+                  .dataAddress(
+                      Endpoint::v4(static_cast<std::uint32_t>(Self), 7100))
+                  .incarnation(Incarnation{Self})
+                  .seed(1)
+                  .keys({Secret, Secret})
+                  .zones(noZones())
+                  .build()),
+        Sink_([this](const Action &A) { note(A); }) {
+    if (D)
+      give(DeclarationRead{D});
+  }
+
+  void give(const Event &What) { Core_.handle(now(), What, Sink_); }
+  Moment now() const {
+    return {MonoTime(Now_), WallTime(Now_ + std::chrono::hours(1))};
+  }
+  void pass(Micros Time) {
+    for (Micros End = Now_ + Time; Now_ < End;) {
+      Now_ += Balancer::TickEvery;
+      give(Tick{});
+    }
+  }
+  void sleep(Micros Time) { Now_ += Time; }
+
+  void fromCaller(Message M, std::size_t Size = 200) {
+    M.Service_ = Index;
+    M.Flow_ = FlowId{7};
+    give(FromCaller{Caller, M, Size});
+  }
+  void open() {
+    Message M;
+    M.Kind_ = Kind::Open;
+    fromCaller(M);
+  }
+  /// Lets the upstream that was last sent to reply.
+  void reply(Kind K, std::uint16_t Part = 0, std::uint16_t Parts = 0) {
+    Message M = Up_->Message_;
+    M.Kind_ = K;
+    M.Part_ = Part;
+    M.Parts_ = Parts;
+    M.Payload_ = {};
+    M.Incarnation_ = Incarnation{5};
+    give(FromUpstream{Up_->To_, M});
+  }
+  void openFlow() {
+    open();
+    reply(Kind::Opened);
+    Route_ = Sealed_;
+  }
+  Message request(std::uint32_t Number, bool Repeatable = false) {
+    Message M;
+    M.Kind_ = Kind::Request;
+    M.Request_ = Number;
+    M.Flags_ = Repeatable ? FlagRepeatable : 0;
+    M.Deadline_ = now().Wall_ + milliseconds(900);
+    M.Route_ = Route_.bytes();
+    return M;
+  }
+  std::uint64_t errors(ErrorKind K) const {
+    return Core_.counters().Errors_[static_cast<std::size_t>(K)];
+  }
+
+  void note(const Action &A) {
+    if (const auto *C = std::get_if<ToCaller>(&A)) {
+      Caller_ = *C;
+      ++ToCallers_;
+      if (!C->Message_.Route_.empty()) {
+        Bytes R = C->Message_.Route_;
+        std::copy_n(R.Data_, R.Size_, Sealed_.Bytes_.begin());
+        Sealed_.Size_ = R.Size_;
+      }
+    } else if (const auto *U = std::get_if<ToUpstream>(&A)) {
+      Up_ = *U;
+      ++ToUpstreams_;
+    } else if (const auto *P = std::get_if<ToPeer>(&A)) {
+      Peer_ = *P;
+      ++ToPeers_;
+    } else if (const auto *R = std::get_if<RereadSources>(&A)) {
+      Asked_ = R->Asked_;
+    }
+  }
+
+  Balancer Core_;
+  ActionSink Sink_;
+  Micros Now_ = std::chrono::seconds(1000);
+  SealedRoute Route_;
+  SealedRoute Sealed_;
+  std::optional<ToCaller> Caller_;
+  std::optional<ToUpstream> Up_;
+  std::optional<ToPeer> Peer_;
+  int ToCallers_ = 0;
+  int ToUpstreams_ = 0;
+  int ToPeers_ = 0;
+  std::uint64_t Asked_ = 0;
+};
+
+bool notRun(const Bench &B) {
+  return (B.Caller_->Message_.Flags_ & FlagNotRun) != 0;
+}
+
+} // namespace
+
+TEST_CASE("a harness drives a flow event by event") {
+  Bench B;
+  B.open();
+  REQUIRE(B.Up_);
+  CHECK(B.Up_->Message_.Kind_ == Kind::Open);
+  B.reply(Kind::Opened);
+  REQUIRE(B.Caller_);
+  CHECK(B.Caller_->To_ == Caller);
+  CHECK(B.Caller_->Message_.Kind_ == Kind::Opened);
+  CHECK(!B.Caller_->Message_.Route_.empty());
+  B.Route_ = B.Sealed_;
+  B.fromCaller(B.request(1));
+  CHECK(B.Up_->Message_.Kind_ == Kind::Request);
+  CHECK(B.Up_->Message_.Incarnation_ == Incarnation{5});
+  B.reply(Kind::Answer);
+  CHECK(B.Caller_->Message_.Kind_ == Kind::Answer);
+  CHECK(B.Core_.counters().Answered_ == 1U);
+}
+
+TEST_CASE("nothing is served before a declaration, and that is said at once") {
+  Bench B(42, nullptr);
+  B.open();
+  CHECK(!B.Caller_); // no service, so no socket it could have come from
+  CHECK(B.errors(ErrorKind::UnknownService) == 1U);
+}
+
+TEST_CASE("a short open is dropped, so that a reply is never longer") {
+  Bench B;
+  Message M;
+  M.Kind_ = Kind::Open;
+  B.fromCaller(M, Balancer::MinOpenSize - 1);
+  CHECK(B.ToUpstreams_ == 0);
+  CHECK(B.errors(ErrorKind::Malformed) == 1U);
+}
+
+TEST_CASE("parts are sent on in any order, each once, late ones never") {
+  Bench B;
+  B.openFlow();
+  B.fromCaller(B.request(1));
+  int Before = B.ToCallers_;
+  B.reply(Kind::Answer, 2, 3);
+  B.reply(Kind::Answer, 0, 3);
+  B.reply(Kind::Answer, 0, 3);
+  CHECK(B.ToCallers_ == Before + 2);
+  B.reply(Kind::Answer, 1, 3);
+  CHECK(B.ToCallers_ == Before + 3);
+  B.reply(Kind::Answer, 1, 3);
+  CHECK(B.ToCallers_ == Before + 3);
+  CHECK(B.errors(ErrorKind::RepeatedPart) == 1U);
+  CHECK(B.errors(ErrorKind::LateAnswer) == 1U);
+}
+
+TEST_CASE("a request is given up at its deadline, cancelled and answered") {
+  Bench B;
+  B.openFlow();
+  B.fromCaller(B.request(1));
+  B.pass(milliseconds(890));
+  CHECK(B.Caller_->Message_.Kind_ == Kind::Opened);
+  B.pass(milliseconds(30));
+  CHECK(B.Caller_->Message_.Kind_ == Kind::Refused);
+  CHECK(B.Caller_->Message_.Reason_ == ErrorKind::NoAnswer);
+  CHECK(!notRun(B));
+  CHECK(B.Caller_->Message_.RetryAt_ > B.now().Wall_);
+  CHECK(B.Up_->Message_.Kind_ == Kind::Cancel);
+}
+
+TEST_CASE("an upstream's refusal is told at once, and is 'not run' just once") {
+  Bench B;
+  B.openFlow();
+  B.fromCaller(B.request(1));
+  B.reply(Kind::Refused);
+  CHECK(B.Caller_->Message_.Reason_ == ErrorKind::UpstreamRefused);
+  CHECK(notRun(B));
+  CHECK(B.Caller_->Message_.RetryAt_ > B.now().Wall_);
+  B.fromCaller(B.request(1)); // a copy, after the final answer
+  CHECK(B.Caller_->Message_.Reason_ == ErrorKind::NumberUsed);
+  CHECK(!notRun(B));
+  B.fromCaller(B.request(2, true));
+  B.reply(Kind::Refused);
+  CHECK(!notRun(B)); // others may hold copies of a repeatable request
+}
+
+TEST_CASE("a passed deadline is refused without being sent") {
+  Bench B;
+  B.openFlow();
+  int Before = B.ToUpstreams_;
+  Message M = B.request(1);
+  M.Deadline_ = B.now().Wall_;
+  B.fromCaller(M);
+  CHECK(B.ToUpstreams_ == Before);
+  CHECK(B.Caller_->Message_.Reason_ == ErrorKind::DeadlinePassed);
+  CHECK(notRun(B));
+  M = B.request(2);
+  M.Deadline_ = B.now().Wall_ + milliseconds(2100); // 1 s and the slack
+  B.fromCaller(M);
+  CHECK(B.Caller_->Message_.Reason_ == ErrorKind::DeadlineTooFar);
+  CHECK(!notRun(B));
+}
+
+TEST_CASE("beyond its bound an upstream gets no more, and callers are told") {
+  Bench B(42, declaration(1, 1, R"("in_flight_per_slot": 2,)"));
+  B.openFlow();
+  for (std::uint32_t I = 1; I <= 2; ++I)
+    B.fromCaller(B.request(I));
+  int Before = B.ToUpstreams_;
+  B.fromCaller(B.request(3));
+  CHECK(B.ToUpstreams_ == Before);
+  CHECK(B.Caller_->Message_.Reason_ == ErrorKind::Overloaded);
+  CHECK(notRun(B));
+}
+
+TEST_CASE("an open that is refused goes elsewhere only within the budget") {
+  Bench B(42, declaration(1, 2, R"("retry_budget": 1,)"));
+  B.open();
+  Endpoint First = B.Up_->To_;
+  B.reply(Kind::Refused);
+  CHECK(B.Up_->To_ != First);
+  CHECK(!B.Caller_);
+  B.reply(Kind::Refused);
+  CHECK(B.Caller_->Message_.Kind_ == Kind::Refused);
+  CHECK(notRun(B));
+  Bench None(42, declaration(1, 2, R"("retry_budget": 0,)"));
+  None.open();
+  None.reply(Kind::Refused);
+  CHECK(None.Caller_->Message_.Kind_ == Kind::Refused);
+  CHECK(None.ToUpstreams_ == 1);
+}
+
+TEST_CASE("a request without a route, or with a forged one, is not guessed") {
+  Bench B;
+  B.openFlow();
+  int Before = B.ToUpstreams_;
+  Message M = B.request(1, true);
+  M.Route_ = {};
+  B.fromCaller(M);
+  CHECK(B.Caller_->Message_.Reason_ == ErrorKind::RouteRequired);
+  CHECK(!notRun(B));
+  SealedRoute Forged = B.Route_;
+  Forged.Bytes_[10] ^= 1;
+  M.Route_ = Forged.bytes();
+  int Told = B.ToCallers_;
+  B.fromCaller(M);
+  CHECK(B.ToCallers_ == Told);
+  CHECK(B.ToUpstreams_ == Before);
+  CHECK(B.errors(ErrorKind::ForgedRoute) == 1U);
+}
+
+TEST_CASE("another balancer passes to the home, and answers when it is gone") {
+  Bench Home;
+  Home.openFlow();
+  Bench Other(43);
+  Other.Core_.handle(Other.now(), FromCaller{Caller, Home.request(1), 200},
+                     Other.Sink_);
+  CHECK(!Other.Peer_); // no service 0: the socket's service was not set
+  Message M = Home.request(1);
+  Other.fromCaller(M);
+  REQUIRE(Other.Peer_);
+  CHECK(Other.Peer_->Datagram_.Kind_ == PeerKind::Pass);
+  Other.pass(milliseconds(210));
+  CHECK(Other.ToPeers_ == 4);
+  CHECK(!Other.Caller_);
+  Other.pass(milliseconds(30));
+  REQUIRE(Other.Caller_);
+  CHECK(Other.Caller_->Message_.Reason_ == ErrorKind::HomeUnreachable);
+  CHECK(!notRun(Other));
+  CHECK(Other.ToUpstreams_ == 0);
+  // The flow goes on under the new home.
+  Other.Route_ = Other.Sealed_;
+  Other.fromCaller(Other.request(2));
+  CHECK(Other.ToUpstreams_ == 1);
+}
+
+TEST_CASE("a process that wakes late rereads before it places flows") {
+  Bench B;
+  B.pass(milliseconds(50));
+  B.sleep(std::chrono::seconds(5));
+  B.open();
+  CHECK(B.Asked_ == 1U);
+  CHECK(B.ToUpstreams_ == 0);
+  CHECK(B.Caller_->Message_.Reason_ == ErrorKind::NotReady);
+  B.give(SourceConfirmed{}); // was under way before the pause
+  B.open();
+  CHECK(B.ToUpstreams_ == 0);
+  B.give(SourceConfirmed{B.Asked_});
+  B.open();
+  CHECK(B.ToUpstreams_ == 1);
+}
+
+TEST_CASE("no source for 3 s after a late wake: the old intent serves on") {
+  Bench B;
+  B.pass(milliseconds(50));
+  B.sleep(std::chrono::seconds(5));
+  B.pass(std::chrono::seconds(3) + 2 * Balancer::TickEvery);
+  B.open();
+  CHECK(B.ToUpstreams_ == 1);
+}
+
+TEST_CASE("a declaration never gives way to an earlier one") {
+  Bench B(42, declaration(5, 2));
+  B.give(DeclarationRead{declaration(4, 1)});
+  CHECK(B.Core_.status().InForce_ == 5U);
+  B.give(DeclarationRead{declaration(6, 1)});
+  CHECK(B.Core_.status().InForce_ == 6U);
+}
+
+TEST_CASE("the host list's leaving upstream gets no new flow") {
+  Bench B(42, declaration(1, 1));
+  HostList L;
+  L.Version_ = 1;
+  L.Hosts_.push_back({"up-0", Host::Role::Upstream, true, "", {}, {}});
+  B.give(HostListRead{std::make_shared<const HostList>(L)});
+  B.open();
+  CHECK(B.ToUpstreams_ == 0);
+  CHECK(B.Caller_->Message_.Reason_ == ErrorKind::NoUpstream);
+  CHECK(notRun(B));
+}
+
+TEST_CASE("an address that went to another upstream gets no old flow") {
+  Bench B(42, declaration(1, 1));
+  B.openFlow();
+  DeclarationPtr Reused = boost::leaf::try_handle_all(
+      [] {
+        return parseDeclaration(
+            R"({"version": 2, "services": [{"name": "index", "port": 1}],
+                "upstreams": [{"name": "other", "address": "10.0.0.1:9000",
+                "data_hall": "h"}], "selectors": []})",
+            "test", noZones());
+      },
+      [] { return DeclarationPtr(); });
+  REQUIRE(Reused);
+  B.give(DeclarationRead{Reused});
+  int Before = B.ToUpstreams_;
+  B.fromCaller(B.request(1, true));
+  B.fromCaller(B.request(2));
+  CHECK(B.ToUpstreams_ == Before);
+  CHECK(B.errors(ErrorKind::FlowUnknown) == 2U);
+}
+
+TEST_CASE("a stopping balancer with a peer passes opens on") {
+  Bench B;
+  B.give(PeerSeen{BalancerId{9}, Peer, Incarnation{77}, false});
+  B.give(StopAsked{});
+  B.open();
+  CHECK(B.ToUpstreams_ == 0);
+  REQUIRE(B.Peer_);
+  CHECK(B.Peer_->To_ == Peer);
+  CHECK(B.Peer_->Datagram_.Inner_.Kind_ == Kind::Open);
+}
+
+TEST_CASE("a datagram of an unknown upstream is dropped") {
+  Bench B;
+  B.openFlow();
+  B.fromCaller(B.request(1));
+  Message M = B.Up_->Message_;
+  M.Kind_ = Kind::Answer;
+  int Before = B.ToCallers_;
+  B.give(FromUpstream{Endpoint::v4(99, 1), M});
+  CHECK(B.ToCallers_ == Before);
+  CHECK(B.errors(ErrorKind::UnknownSender) == 1U);
+}
+
+TEST_CASE("the data path allocates nothing in steady state") {
+  Bench B;
+  B.openFlow();
+  auto Round = [&](std::uint32_t From, std::uint32_t To) {
+    for (std::uint32_t I = From; I < To; ++I) {
+      B.fromCaller(B.request(I, I % 2 == 0));
+      B.reply(Kind::Answer);
+      B.pass(Balancer::TickEvery);
+    }
+  };
+  Round(1, 200);
+  std::size_t Before = Allocations;
+  Round(200, 1200);
+  CHECK(Allocations == Before);
+}
--- /dev/null
+++ b/test/control-test.cc
@@ -0,0 +1,124 @@
+#include "thymewall/control.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace thymewall;
+
+namespace {
+
+SecretKey secret() { return {1, 2, 3}; }
+
+std::array<SecretKey, 2> keys() { return {secret(), secret()}; }
+
+/// Balancers lb-0.. spread over some data halls.
+HostList fleet(std::size_t Count, std::size_t Halls) {
+  HostList L;
+  for (std::size_t I = 0; I < Count; ++I) {
+    Host H;
+    H.Name_ = "lb-" + std::to_string(I);
+    H.DataHall_ = "hall-" + std::to_string(I % Halls);
+    L.Hosts_.push_back(H);
+  }
+  return L;
+}
+
+template <typename T> T roundTrip(const T &M) {
+  ControlMessage Read;
+  REQUIRE(decodeControl(encodeControl(M, secret()), keys(), Read) ==
+          ErrorKind::None);
+  return std::get<T>(Read);
+}
+
+} // namespace
+
+TEST_CASE("control messages survive the codec") {
+  Heartbeat H;
+  H.Name_ = "lb-1";
+  H.Data_ = parseEndpoint("127.0.0.1:7100");
+  H.Incarnation_ = Incarnation{9};
+  H.Leaving_ = true;
+  H.Versions_[0] = {5, 6};
+  H.Answers_ = 3;
+  Heartbeat Read = roundTrip(H);
+  CHECK(Read.Name_ == H.Name_);
+  CHECK(Read.Data_ == H.Data_);
+  CHECK(Read.Incarnation_ == H.Incarnation_);
+  CHECK(Read.Leaving_);
+  CHECK(Read.Versions_ == H.Versions_);
+  CHECK(Read.Answers_ == 3U);
+  CHECK(roundTrip(DocumentWanted{DocumentKind::Hosts}).Kind_ ==
+        DocumentKind::Hosts);
+  CHECK(roundTrip(DocumentSent{DocumentKind::Hosts, "text"}).Text_ == "text");
+  CHECK(roundTrip(FreshnessAsked{8}).Asked_ == 8U);
+  Succession S{Incarnation{1},
+               WallTime(Micros(5)),
+               {{parseEndpoint("127.0.0.1:1"), Incarnation{2}}}};
+  CHECK(roundTrip(SuccessionSent{S}).Succession_ == S);
+}
+
+TEST_CASE("damaged control messages are refused and crash nothing") {
+  CHECK(rc::check("random bytes behind a right tag", [] {
+    ControlMessage M;
+    auto Text = *rc::gen::arbitrary<std::string>();
+    decodeControl(Text, keys(), M);
+    std::string Good = encodeControl(DocumentSent{{}, Text}, secret());
+    auto At = *rc::gen::inRange<std::size_t>(0, Good.size());
+    Good[At] = static_cast<char>(Good[At] ^ 1);
+    RC_ASSERT(decodeControl(Good, keys(), M) == ErrorKind::BadTag);
+  }));
+  ControlMessage M;
+  CHECK(decodeControl("short", keys(), M) == ErrorKind::Malformed);
+}
+
+TEST_CASE("every balancer has peers near and far, never more than the limit") {
+  HostList L = fleet(120, 6);
+  for (const Host &H : L.Hosts_) {
+    std::size_t Near = 0;
+    std::vector<Host> Peers = choosePeers(L, H.Name_, H.DataHall_, 8);
+    CHECK(Peers.size() == 8U);
+    for (const Host &P : Peers) {
+      CHECK(P.Name_ != H.Name_);
+      Near += P.DataHall_ == H.DataHall_;
+    }
+    CHECK(Near == 4U);
+  }
+}
+
+TEST_CASE("a few balancers of each data hall watch, and others step in") {
+  HostList L = fleet(120, 6);
+  auto Watchers = [&](const std::vector<std::string> &Silent) {
+    std::set<std::string> Names;
+    for (const Host &H : L.Hosts_)
+      if (watchesPlatform(L, H.Name_, H.DataHall_, 2, Silent))
+        Names.insert(H.Name_);
+    return Names;
+  };
+  std::set<std::string> First = Watchers({});
+  CHECK(First.size() == 12U);
+  std::string Gone = *First.begin();
+  std::set<std::string> Second = Watchers({Gone});
+  CHECK(Second.size() == 13U); // its replacement, and itself if it lives
+  CHECK(watchesPlatform(L, "new", "hall-1", 2, {}));
+}
+
+TEST_CASE("news reaches every balancer over peer links in a few steps") {
+  HostList L = fleet(600, 15);
+  std::map<std::string, std::set<std::string>> Links;
+  for (const Host &H : L.Hosts_)
+    for (const Host &P : choosePeers(L, H.Name_, H.DataHall_, 8)) {
+      Links[H.Name_].insert(P.Name_);
+      Links[P.Name_].insert(H.Name_);
+    }
+  std::set<std::string> Reached = {"lb-0"};
+  std::size_t Steps = 0;
+  for (; Reached.size() < L.Hosts_.size() && Steps < 20; ++Steps) {
+    std::set<std::string> Next = Reached;
+    for (const std::string &Name : Reached)
+      Next.insert(Links[Name].begin(), Links[Name].end());
+    Reached = Next;
+  }
+  CHECK(Reached.size() == L.Hosts_.size());
+  CHECK(Steps <= 6U);
+}
--- /dev/null
+++ b/test/declaration-test.cc
@@ -0,0 +1,223 @@
+#include "thymewall/declaration.h"
+
+#include "thymewall/zone.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <doctest/doctest.h>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+using namespace thymewall;
+using Json = nlohmann::json;
+
+namespace {
+
+const std::string Good = R"({
+ "version": 3,
+ "services": [{"name": "index", "port": 7001}, {"name": "archive", "port": 7002}],
+ "upstreams": [
+  {"name": "a", "address": "10.0.0.1:9000", "data_hall": "h1", "labels": {"role": "index"}},
+  {"name": "b", "address": "10.0.0.2:9000", "data_hall": "h1", "labels": {"role": "archive"}}],
+ "selectors": [
+  {"service": "index", "terms": [{"key": "role", "op": "in", "values": ["index"]}]},
+  {"service": "archive", "terms": [{"key": "role", "op": "in", "values": ["archive"]}]}]})";
+
+Problems faultsOf(const std::string &Text) {
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<Problems> {
+        BOOST_LEAF_CHECK(parseDeclaration(Text, "doc.json", zoneClock()));
+        return Problems{};
+      },
+      [](const Problems &Found) { return Found; },
+      [] {
+        return Problems{{"", "", "unexpected"}};
+      });
+}
+
+DeclarationPtr parse(const std::string &Text) {
+  return boost::leaf::try_handle_all(
+      [&]() { return parseDeclaration(Text, "doc.json", zoneClock()); },
+      [] { return DeclarationPtr(); });
+}
+
+/// The good document with one place changed.
+std::string with(const char *Pointer, const Json &Value) {
+  Json Root = Json::parse(Good);
+  Root[Json::json_pointer(Pointer)] = Value;
+  return Root.dump();
+}
+
+WallTime at(int Day, int Hour, int Minute) {
+  // 2026-12-06 is a Sunday; times are UTC.
+  constexpr std::int64_t Sunday = 1'796'515'200;
+  return WallTime(
+      std::chrono::seconds(Sunday + Day * 86'400 + Hour * 3600 + Minute * 60));
+}
+
+std::string withWindow(const std::string &Window) {
+  return with("/selectors/0/window", Json::parse(Window));
+}
+
+} // namespace
+
+TEST_CASE("a good document is read") {
+  DeclarationPtr D = parse(Good);
+  REQUIRE(D);
+  CHECK(D->Version_ == 3U);
+  CHECK(D->Services_.size() == 2U);
+  CHECK(D->Services_[0].DeadlineAfter_ == std::chrono::seconds(2));
+  CHECK(formatEndpoint(D->Upstreams_[1].At_) == "10.0.0.2:9000");
+}
+
+TEST_CASE("each bad document is refused with its key named") {
+  struct Bad {
+    const char *Pointer_;
+    Json Value_;
+    const char *Key_;
+  };
+  const std::vector<Bad> All = {
+      {"/version", 0, "version"},
+      {"/version", "3", "version"},
+      {"/version", 1.5, "version"},
+      {"/verison", 3, "verison"},
+      {"/services", 7, "services"},
+      {"/services/0/port", 0, "services[0].port"},
+      {"/services/0/port", 70'000, "services[0].port"},
+      {"/services/1/port", 7001, "services[1].port"},
+      {"/services/1/name", "index", "services[1].name"},
+      {"/services/0/name", "", "services[0].name"},
+      {"/services/0/deadline_ms", 0, "services[0].deadline_ms"},
+      {"/services/0/retry_budget", 2, "services[0].retry_budget"},
+      {"/upstreams/0/address", "example.org:80", "upstreams[0].address"},
+      {"/upstreams/0/address", "10.0.0.2:9000", "upstreams[1].address"},
+      {"/upstreams/0/slots", -1, "upstreams[0].slots"},
+      {"/upstreams/0/labels/role", 5, "upstreams[0].labels.role"},
+      {"/upstreams/0/remembers_requests", 1, "upstreams[0].remembers_requests"},
+      {"/upstreams/1", 5, "upstreams[1]"},
+      {"/selectors/0/service", "indexx", "selectors[0].service"},
+      {"/selectors/0/terms", Json::array(), "selectors[0].terms"},
+      {"/selectors/0/terms/0/op", "=", "selectors[0].terms[0].op"},
+      {"/selectors/0/terms/0/values", Json::array(),
+       "selectors[0].terms[0].values"},
+      {"/selectors/0/window",
+       {{"from", "08:00"}, {"to", "18:00"}, {"zone", "Europe/Amsterdm"}},
+       "selectors[0].window.zone"},
+      {"/selectors/0/window",
+       {{"from", "8:00"}, {"to", "18:00"}, {"zone", "Europe/London"}},
+       "selectors[0].window.from"},
+      {"/selectors/0/window",
+       {{"from", "08:00"}, {"to", "08:00"}, {"zone", "Europe/London"}},
+       "selectors[0].window.to"},
+      {"/selectors/0/window",
+       {{"days", {"monday"}},
+        {"from", "08:00"},
+        {"to", "18:00"},
+        {"zone", "Europe/London"}},
+       "selectors[0].window.days"},
+  };
+  for (const Bad &B : All) {
+    Problems Found = faultsOf(with(B.Pointer_, B.Value_));
+    CAPTURE(B.Key_);
+    REQUIRE(!Found.empty());
+    bool Named = false;
+    for (const Problem &P : Found)
+      Named = Named ||
+              (P.Key_ == B.Key_ && P.File_ == "doc.json" && !P.Reason_.empty());
+    CHECK(Named);
+  }
+  CHECK(faultsOf("{").front().Key_ == "(document)");
+  CHECK(faultsOf(std::string(MaxDocument + 1, ' ')).front().Key_ ==
+        "(document)");
+}
+
+TEST_CASE("all faults are told at once") {
+  Json Root = Json::parse(Good);
+  Root["version"] = 0;
+  Root["services"][0]["port"] = 0;
+  Root["extra"] = 1;
+  CHECK(faultsOf(Root.dump()).size() == 3U);
+}
+
+TEST_CASE("two documents of one version settle alike, whatever the order") {
+  DeclarationPtr A = parse(Good);
+  DeclarationPtr B = parse(with("/services/0/port", 7009));
+  CHECK(supersedes(*A, *B) != supersedes(*B, *A));
+  CHECK(!supersedes(*A, *A));
+}
+
+TEST_CASE("terms match labels") {
+  Labels L = {{"role", "index"}};
+  CHECK(matches({"role", Term::Operator::In, {"x", "index"}}, L));
+  CHECK(!matches({"role", Term::Operator::NotIn, {"index"}}, L));
+  CHECK(matches({"zone", Term::Operator::NotIn, {"x"}}, L));
+  CHECK(matches({"role", Term::Operator::Exists, {}}, L));
+  CHECK(matches({"zone", Term::Operator::Absent, {}}, L));
+}
+
+TEST_CASE("a window over midnight belongs to the day on which it starts") {
+  Window W;
+  W.Days_ = 1 << 5; // Friday
+  W.From_ = 22 * 60;
+  W.To_ = 2 * 60;
+  CHECK(contains(W, {5, 23 * 60}));
+  CHECK(contains(W, {6, 60}));
+  CHECK(!contains(W, {6, 23 * 60}));
+  CHECK(!contains(W, {5, 60}));
+}
+
+TEST_CASE("a window follows summer time") {
+  DeclarationPtr D = parse(withWindow(
+      R"({"from": "08:00", "to": "18:00", "zone": "Europe/Amsterdam"})"));
+  REQUIRE(D);
+  auto Serves = [&](WallTime When) {
+    return eligible(*D, D->Services_[0], zoneClock(), When).size() == 1U;
+  };
+  // In winter 08:00 is 07:00 UTC; in July (212 days before) it is 06:00 UTC.
+  CHECK(!Serves(at(0, 6, 59)));
+  CHECK(Serves(at(0, 7, 0)));
+  CHECK(!Serves(at(-150, 5, 59)));
+  CHECK(Serves(at(-150, 6, 0)));
+}
+
+TEST_CASE("explain gives yes or the first reason for no") {
+  DeclarationPtr D =
+      parse(withWindow(R"({"from": "08:00", "to": "18:00", "zone": "UTC"})"));
+  REQUIRE(D);
+  const Service &Index = D->Services_[0];
+  WallTime Noon = at(0, 12, 0);
+  CHECK(explain(*D, Index, D->Upstreams_[0], zoneClock(), Noon).empty());
+  CHECK(explain(*D, Index, D->Upstreams_[1], zoneClock(), Noon) ==
+        "label \"role\" does not match");
+  CHECK(explain(*D, Index, D->Upstreams_[0], zoneClock(), at(0, 19, 0)) ==
+        "outside the selector's window");
+}
+
+TEST_CASE("the week's gaps and double uses are found") {
+  DeclarationPtr Gap =
+      parse(withWindow(R"({"from": "08:00", "to": "18:00", "zone": "UTC"})"));
+  Problems Found = checkWeek(*Gap, "f", zoneClock(), at(0, 12, 0));
+  REQUIRE(Found.size() == 1U);
+  CHECK(Found[0].Key_ == "services.index");
+  CHECK(Found[0].Reason_ == "has no upstream from 2026-12-06T18:00Z");
+  DeclarationPtr Twice =
+      parse(with("/selectors/1/terms/0/values", {"archive", "index"}));
+  Found = checkWeek(*Twice, "f", zoneClock(), at(0, 12, 0));
+  REQUIRE(Found.size() == 1U);
+  CHECK(Found[0].Key_ == "upstreams.a");
+  CHECK(checkWeek(*parse(Good), "f", zoneClock(), at(0, 0, 0)).empty());
+}
+
+TEST_CASE("the shipped deployments are valid at their full sizes") {
+  for (const char *Name : {"amsterdam", "harrowgate"}) {
+    std::ifstream In(std::string(EXAMPLES) + "/" + Name + "/declaration.json");
+    std::stringstream Text;
+    Text << In.rdbuf();
+    DeclarationPtr D = parse(Text.str());
+    REQUIRE(D);
+    CHECK(checkWeek(*D, Name, zoneClock(), at(0, 0, 0)).empty());
+    WallTime When = at(0, 0, 0);
+    CHECK(eligible(*D, D->Services_[0], zoneClock(), When).size() == 14U);
+    CHECK(eligible(*D, D->Services_[1], zoneClock(), When).size() == 4U);
+  }
+}
--- /dev/null
+++ b/test/promises-test.cc
@@ -0,0 +1,179 @@
+// The brief's promises as properties: fleets of cores under generated faults.
+#include "fleet.h"
+
+#include <doctest/doctest.h>
+#include <iostream>
+#include <rapidcheck.h>
+
+using namespace thymewall;
+using namespace thymewall::test;
+
+namespace {
+
+std::uint64_t EventsInAll = 0;
+
+/// Faults of the given kinds, spread over a run.
+std::vector<Fault> faultsOf(const std::vector<FaultKind> &Kinds,
+                            std::size_t Most, Micros Until) {
+  auto Count = *rc::gen::inRange<std::size_t>(1, Most + 1);
+  std::vector<Fault> Result;
+  for (std::size_t I = 0; I < Count; ++I) {
+    Fault F;
+    F.Kind_ = *rc::gen::elementOf(Kinds);
+    F.At_ = milliseconds(
+        *rc::gen::inRange<int>(500, static_cast<int>(Until / milliseconds(1))));
+    F.Which_ = *rc::gen::inRange<unsigned>(0, 10'000);
+    Result.push_back(F);
+  }
+  return Result;
+}
+
+Seen runFleet(const FleetOptions &Options, const std::vector<Fault> &Faults) {
+  Seen S = Fleet(Options, Faults).run();
+  EventsInAll += S.Events_;
+  for (const auto &[Reason, Number] : S.Reasons_)
+    RC_LOG() << "unknown outcomes, " << Reason << ": " << Number << "\n";
+  return S;
+}
+
+/// What must hold whatever happens.
+void assertAlways(const Seen &S) {
+  RC_ASSERT(S.Doubled_ == 0U);
+  RC_ASSERT(S.FalseNotRun_ == 0U);
+  RC_ASSERT(S.AnsweredUnrun_ == 0U);
+  RC_ASSERT(S.WrongService_ == 0U);
+  RC_ASSERT(S.MixedAnswers_ == 0U);
+  RC_ASSERT(S.VersionsBack_ == 0U);
+}
+
+std::vector<FaultKind> everyKind() {
+  std::vector<FaultKind> Kinds;
+  for (int I = 0; I < static_cast<int>(FaultKind::Count); ++I)
+    Kinds.push_back(static_cast<FaultKind>(I));
+  return Kinds;
+}
+
+FleetOptions roughNetwork() {
+  FleetOptions O;
+  O.Seed_ = *rc::gen::arbitrary<std::uint64_t>();
+  O.Loss_ = *rc::gen::element(0.0, 0.02, 0.1);
+  O.Repeat_ = *rc::gen::element(0.0, 0.2);
+  O.Delay_ = *rc::gen::element(0.0, 0.2);
+  return O;
+}
+
+} // namespace
+
+TEST_CASE("every promise but unbroken flows holds under any faults") {
+  CHECK(rc::check("any faults, upstreams without memory", [] {
+    FleetOptions O = roughNetwork();
+    assertAlways(runFleet(O, faultsOf(everyKind(), 12, seconds(9))));
+  }));
+}
+
+TEST_CASE("an upstream that remembers requests runs none twice") {
+  CHECK(rc::check("any faults, upstreams with memory", [] {
+    FleetOptions O = roughNetwork();
+    O.Remember_ = true;
+    assertAlways(runFleet(O, faultsOf(everyKind(), 12, seconds(9))));
+  }));
+}
+
+TEST_CASE("routes of other flows and services never cross services") {
+  CHECK(rc::check("any faults, forged routes", [] {
+    FleetOptions O = roughNetwork();
+    O.Forge_ = true;
+    assertAlways(runFleet(O, faultsOf(everyKind(), 6, seconds(9))));
+  }));
+}
+
+TEST_CASE("planned changes break no flow and lose no request") {
+  CHECK(rc::check("planned changes", [] {
+    FleetOptions O;
+    O.Seed_ = *rc::gen::arbitrary<std::uint64_t>();
+    O.Repeat_ = *rc::gen::element(0.0, 0.2);
+    Seen S =
+        runFleet(O, faultsOf({FaultKind::Relabel, FaultKind::Drain,
+                              FaultKind::JoinBalancer, FaultKind::PlatformDown,
+                              FaultKind::PlatformStale},
+                             6, seconds(9)));
+    assertAlways(S);
+    RC_ASSERT(S.BrokenFlows_ == 0U);
+    RC_ASSERT(S.OutcomeUnknown_ == 0U);
+    RC_ASSERT(S.NoFinalAnswer_ == 0U);
+    RC_ASSERT(S.Answered_ > 1000U);
+  }));
+}
+
+TEST_CASE("a planned stop cuts no request and hands on at-most-once") {
+  CHECK(rc::check("one balancer stops", [] {
+    FleetOptions O;
+    O.Seed_ = *rc::gen::arbitrary<std::uint64_t>();
+    O.Repeat_ = *rc::gen::element(0.0, 0.2);
+    O.Delay_ = *rc::gen::element(0.0, 0.2);
+    O.PauseUpTo_ = seconds(4); // some flows are idle through the whole stop
+    Fault Stop{FaultKind::StopBalancer,
+               milliseconds(*rc::gen::inRange(2000, 4000)),
+               *rc::gen::inRange(0U, 4U)};
+    Seen S = runFleet(O, {Stop});
+    assertAlways(S);
+    RC_ASSERT(S.BrokenFlows_ == 0U);
+    RC_ASSERT(S.OutcomeUnknown_ == 0U);
+    RC_ASSERT(S.NotRun_ == 0U);
+    RC_ASSERT(S.NoFinalAnswer_ == 0U);
+    RC_ASSERT(S.Adopted_ > 0U);
+  }));
+}
+
+TEST_CASE("the death of one balancer breaks no flow") {
+  CHECK(rc::check("one balancer dies", [] {
+    FleetOptions O;
+    O.Seed_ = *rc::gen::arbitrary<std::uint64_t>();
+    Fault Kill{FaultKind::KillBalancer,
+               milliseconds(*rc::gen::inRange(1000, 4000)),
+               *rc::gen::inRange(0U, 4U)};
+    Seen S = runFleet(O, {Kill});
+    assertAlways(S);
+    RC_ASSERT(S.BrokenFlows_ == 0U);
+    RC_ASSERT(S.NoFinalAnswer_ == 0U);
+    RC_ASSERT(S.Rehomed_ > 0U);
+  }));
+}
+
+TEST_CASE("a leaving upstream gets no new work although a balancer sleeps") {
+  CHECK(rc::check("drain while a balancer is frozen", [] {
+    FleetOptions O;
+    O.Seed_ = *rc::gen::arbitrary<std::uint64_t>();
+    O.Flows_ = 200; // opens go on while the change is made
+    std::vector<Fault> Faults = {
+        {FaultKind::FreezeBalancer, milliseconds(600),
+         *rc::gen::inRange(2600U, 2900U)},
+        {FaultKind::Drain, milliseconds(700), *rc::gen::inRange(0U, 6U)}};
+    for (unsigned I = 0; I < 4; ++I) // and flows are opened anew
+      Faults.push_back(
+          {FaultKind::UpstreamRestart, milliseconds(3000 + 400 * I), 1 + I});
+    Seen S = runFleet(O, Faults);
+    assertAlways(S);
+    RC_ASSERT(S.LateNewWork_ == 0U);
+  }));
+}
+
+TEST_CASE("the newest declaration is in force everywhere within 2 seconds") {
+  CHECK(rc::check("racing declarations, platform down or stale", [] {
+    FleetOptions O;
+    O.Seed_ = *rc::gen::arbitrary<std::uint64_t>();
+    O.Flows_ = 10;
+    Seen S =
+        runFleet(O, faultsOf({FaultKind::Relabel, FaultKind::Drain,
+                              FaultKind::PlatformStale, FaultKind::CutOneWay,
+                              FaultKind::RestartBalancer},
+                             10, seconds(8)));
+    RC_ASSERT(S.VersionsBack_ == 0U);
+    RC_ASSERT(S.AllInForce_);
+  }));
+}
+
+TEST_CASE("enough events were run") {
+  std::cout << "core events under faults: " << EventsInAll << "\n";
+  CHECK(EventsInAll > 200'000U);
+}
--- /dev/null
+++ b/test/route-test.cc
@@ -0,0 +1,61 @@
+#include "thymewall/route.h"
+
+#include <doctest/doctest.h>
+
+using namespace thymewall;
+
+namespace {
+
+Route sample() {
+  Route R;
+  R.Service_ = ServiceId{1};
+  R.Flow_ = FlowId{2};
+  R.Upstream_ = UpstreamId{3};
+  R.UpstreamAt_ = parseEndpoint("192.0.2.7:9000");
+  R.UpstreamIncarnation_ = Incarnation{4};
+  R.Placed_ = 5;
+  R.HomeAt_ = parseEndpoint("[2001:db8::1]:7100");
+  R.Home_ = Incarnation{6};
+  R.Epoch_ = 7;
+  return R;
+}
+
+const SecretKey Old = {1};
+const SecretKey New = {2};
+
+} // namespace
+
+TEST_CASE("a route opens under the current and the previous key") {
+  SealedRoute Sealed = seal(sample(), Old);
+  Route R;
+  CHECK(open(Sealed.bytes(), {Old, Old}, ServiceId{1}, FlowId{2}, R) ==
+        ErrorKind::None);
+  CHECK(R == sample());
+  CHECK(open(Sealed.bytes(), {New, Old}, ServiceId{1}, FlowId{2}, R) ==
+        ErrorKind::None);
+  CHECK(open(Sealed.bytes(), {New, New}, ServiceId{1}, FlowId{2}, R) ==
+        ErrorKind::ForgedRoute);
+}
+
+TEST_CASE("a route of another service or flow is refused") {
+  SealedRoute Sealed = seal(sample(), Old);
+  Route R;
+  CHECK(open(Sealed.bytes(), {Old, Old}, ServiceId{2}, FlowId{2}, R) ==
+        ErrorKind::ForgedRoute);
+  CHECK(open(Sealed.bytes(), {Old, Old}, ServiceId{1}, FlowId{3}, R) ==
+        ErrorKind::ForgedRoute);
+}
+
+TEST_CASE("a route with any bit changed, or of any other length, is refused") {
+  SealedRoute Sealed = seal(sample(), Old);
+  Route R;
+  for (std::size_t Bit = 0; Bit < Sealed.Size_ * 8; ++Bit) {
+    SealedRoute Forged = Sealed;
+    Forged.Bytes_[Bit / 8] ^= static_cast<std::uint8_t>(1 << (Bit % 8));
+    CHECK(open(Forged.bytes(), {Old, New}, ServiceId{1}, FlowId{2}, R) ==
+          ErrorKind::ForgedRoute);
+  }
+  for (std::size_t Size = 0; Size < Sealed.Size_; ++Size)
+    CHECK(open({Sealed.Bytes_.data(), Size}, {Old, New}, ServiceId{1},
+               FlowId{2}, R) == ErrorKind::ForgedRoute);
+}
--- /dev/null
+++ b/test/upstream-table-test.cc
@@ -0,0 +1,153 @@
+#include "thymewall/upstream-table.h"
+
+#include <doctest/doctest.h>
+
+using namespace thymewall;
+
+namespace {
+
+MonoTime at(int Milliseconds) {
+  return MonoTime(std::chrono::milliseconds(Milliseconds));
+}
+
+Declaration declare(std::size_t Count, std::uint32_t Slots = 1) {
+  Declaration D;
+  for (std::size_t I = 0; I < Count; ++I) {
+    Upstream U;
+    U.Name_ = "up-" + std::to_string(I);
+    U.Id_ = static_cast<UpstreamId>(nameId(U.Name_));
+    U.At_ = Endpoint::v4(static_cast<std::uint32_t>(I + 1), 9000);
+    U.Slots_ = Slots;
+    D.Upstreams_.push_back(U);
+  }
+  return D;
+}
+
+std::vector<std::uint32_t> all(std::size_t Count) {
+  std::vector<std::uint32_t> Result(Count);
+  for (std::size_t I = 0; I < Count; ++I)
+    Result[I] = static_cast<std::uint32_t>(I);
+  return Result;
+}
+
+/// Opens flows one by one; gives the fullest upstream above the mean, percent.
+double imbalance(const Chooser &Choose, std::size_t Flows) {
+  UpstreamTable Table;
+  Table.declare(declare(14), at(0));
+  std::vector<std::uint32_t> Eligible = all(14);
+  for (std::size_t I = 0; I < Flows; ++I) {
+    Choice C{{ServiceId{1}, FlowId{I * 7919 + 1}},
+             Eligible,
+             Table.rows(),
+             at(10'000)};
+    ++Table[Eligible[Choose(C)]].OwnFlows_;
+  }
+  std::uint32_t Most = 0;
+  for (const UpstreamRow &U : Table.rows())
+    Most = std::max(Most, U.OwnFlows_);
+  return (Most * 14.0 / static_cast<double>(Flows) - 1) * 100;
+}
+
+} // namespace
+
+TEST_CASE("two choices on own counts even out what the plain hash does not") {
+  CHECK(imbalance(chooseTwoOwn, 28'000) < 0.5);
+  CHECK(imbalance(choosePlainHash, 28'000) > 1);
+}
+
+TEST_CASE("one of two leaving moves only its own first candidates") {
+  UpstreamTable Table;
+  Table.declare(declare(14), at(0));
+  std::vector<std::uint32_t> Before = all(14);
+  std::vector<std::uint32_t> After(Before.begin(), Before.end() - 1);
+  for (std::uint64_t Flow = 1; Flow < 2000; ++Flow) {
+    FlowKey Key{ServiceId{1}, FlowId{Flow}};
+    auto Old = candidates({Key, Before, Table.rows(), at(0)}).first;
+    auto New = candidates({Key, After, Table.rows(), at(0)}).first;
+    CHECK((Old == 13 || Old == New));
+  }
+}
+
+TEST_CASE("slots weigh the candidates") {
+  Declaration D = declare(2);
+  D.Upstreams_[0].Slots_ = 3;
+  UpstreamTable Table;
+  Table.declare(D, at(0));
+  std::vector<std::uint32_t> Eligible = all(2);
+  int First = 0;
+  for (std::uint64_t Flow = 1; Flow <= 4000; ++Flow)
+    First +=
+        choosePlainHash(
+            {{ServiceId{1}, FlowId{Flow}}, Eligible, Table.rows(), at(0)}) == 0;
+  CHECK(First > 2850);
+  CHECK(First < 3150);
+}
+
+TEST_CASE("a cold upstream takes a growing share") {
+  UpstreamTable Table;
+  Table.declare(declare(4), at(0));
+  Table.declare(declare(5), at(1000)); // up-4 is new, with no flows
+  for (std::uint32_t I = 0; I < 4; ++I)
+    Table[I].OwnFlows_ = 100;
+  std::vector<std::uint32_t> Eligible = all(5);
+  auto Share = [&](MonoTime Now) {
+    int Taken = 0;
+    for (std::uint64_t Flow = 1; Flow <= 2000; ++Flow)
+      Taken +=
+          chooseTwoOwn(
+              {{ServiceId{1}, FlowId{Flow}}, Eligible, Table.rows(), Now}) == 4;
+    return Taken / 2000.0;
+  };
+  CHECK(Share(at(1000)) < 0.06);
+  CHECK(Share(at(3500)) < 0.25);
+  CHECK(Share(at(6000)) > 0.35); // warm: every flow that has it as candidate
+}
+
+TEST_CASE("failures in a row eject for a while, and never more than half") {
+  UpstreamTable Table;
+  Table.declare(declare(4), at(0));
+  auto Fail = [&](std::uint32_t Index) {
+    for (std::uint32_t I = 0; I < UpstreamTable::FailuresToEject; ++I)
+      Table.failed(Index, at(0), 0.5);
+  };
+  auto Eligible = [&](int When) {
+    std::vector<std::uint32_t> Into;
+    Table.eligibleNow(all(4), at(When), Into);
+    return Into;
+  };
+  Table.failed(1, at(0), 0.5);
+  Table.succeeded(1);
+  Table.failed(1, at(0), 0.5);
+  CHECK(Eligible(1).size() == 4U);
+  Fail(0);
+  CHECK(Eligible(1) == std::vector<std::uint32_t>{1, 2, 3});
+  CHECK(Eligible(2100).size() == 4U);
+  Fail(1);
+  CHECK(Eligible(1).size() == 2U);
+  Fail(2);
+  CHECK(Eligible(1).size() == 4U); // three of four: no one is ejected
+  Table.forgetBeliefs();
+  CHECK(Eligible(1).size() == 4U);
+}
+
+TEST_CASE("a leaving upstream is not eligible, even if it is the last") {
+  UpstreamTable Table;
+  Declaration D = declare(2);
+  Table.declare(D, at(0));
+  std::vector<std::uint32_t> Into;
+  Table.setLeaving(D.Upstreams_[0].Id_, true);
+  Table.eligibleNow(all(2), at(1), Into);
+  CHECK(Into == std::vector<std::uint32_t>{1});
+  Table.setLeaving(D.Upstreams_[1].Id_, true);
+  Table.eligibleNow(all(2), at(1), Into);
+  CHECK(Into.empty());
+}
+
+TEST_CASE("a new incarnation is cold again") {
+  UpstreamTable Table;
+  Table.declare(declare(1), at(0));
+  Table.seen(0, Incarnation{1}, at(100));
+  CHECK(Table[0].WarmAt_ <= at(100));
+  Table.seen(0, Incarnation{2}, at(200));
+  CHECK(Table[0].WarmAt_ == at(200) + UpstreamTable::ColdStart);
+}
