A watch asks again only once its last answer was taken in

Cause: after a new declaration the watching thread asked again before the main thread had put it in force, got the same text, and paused 300 ms as after a failure; a second declaration within that time came late. Ruled out: peers spreading slowly (the first of two declarations took 0.05 s). Change: the thread waits, 200 ms at most, until its answer was handled.

--- a/src/platform-client.cc
+++ b/src/platform-client.cc
@@ -3,6 +3,7 @@
 #include <asio/post.hpp>
 #include <atomic>
 #include <condition_variable>
+#include <future>
 #include <httplib.h>
 #include <mutex>
 #include <thread>
@@ -15,6 +16,7 @@
 
 constexpr auto WatchFor = 5s;
 constexpr auto RetryAfter = 300ms;
+constexpr auto TakenWithin = 200ms;
 const char *const Paths[DocumentKinds] = {"/v1/watch/declaration",
                                           "/v1/watch/hosts"};
 
@@ -104,7 +106,14 @@
     Answer.Kind_ = static_cast<DocumentKind>(Kind);
     if (Result->status == 200)
       Answer.Text_ = Result->body;
-    asio::post(Context_, [this, Answer] { OnAnswer_(Answer); });
+    // The next call asks from the version that this answer brings, so it waits
+    // until the answer has been taken in.
+    auto Taken = std::make_shared<std::promise<void>>();
+    asio::post(Context_, [this, Answer, Taken] {
+      OnAnswer_(Answer);
+      Taken->set_value();
+    });
+    Taken->get_future().wait_for(TakenWithin);
     // A version that is refused stays unknown and so is sent again: then ask
     // no faster than after a failure.
     bool Repeated = Result->status == 200 && Result->body == Last_[Kind];
