Flows move from a dead home before one of their requests is lost

Cause: after a balancer's death each of its flows lost the outcome of its first request that may not be repeated: only such a request made another balancer the flow's home. Ruled out: losses of the fabric (those are resent and answered). Change: a home that did not confirm a pass, or whose heartbeats ended, is suspected for 10 s; while it is, a ping or a repeatable request brings its caller a new route. Requests sent before keep their old route, so none runs twice. What is left is requests in progress and those sent within the time that suspicion takes.

--- a/include/thymewall/balancer.h
+++ b/include/thymewall/balancer.h
@@ -127,7 +127,8 @@
   std::uint64_t NotRun_ = 0;
   std::uint64_t OutcomeUnknown_ = 0;
   std::uint64_t Retries_ = 0;
-  std::uint64_t Rehomed_ = 0;
+  std::uint64_t Rehomed_ = 0; ///< After a request's outcome was lost.
+  std::uint64_t Moved_ = 0;   ///< Before any request was.
   std::uint64_t Adopted_ = 0;
   std::uint64_t LateWakes_ = 0;
 };
--- a/include/thymewall/message.h
+++ b/include/thymewall/message.h
@@ -22,7 +22,8 @@
   Reset,
   Probe,
   ProbeReply,
-  Last = ProbeReply
+  Moved, ///< To a caller: use this route for requests not yet sent.
+  Last = Moved
 };
 
 /// Bits of `Message::Flags_`.
--- a/src/balancer-caller.cc
+++ b/src/balancer-caller.cc
@@ -42,6 +42,8 @@
     return;
   if (M.Kind_ == Kind::Close)
     return closeFlow(M, R);
+  if (M.Kind_ == Kind::Ping)
+    tellMoved(M, R);
   forwardStateless(M, R);
 }
 
@@ -220,7 +222,9 @@
     finish(*Before); // a retry: the new attempt replaces the old one
   if (overloaded(*serviceState(M.Service_), Upstreams_[Index]))
     return refuse(M, ErrorKind::Overloaded, Answer::OutcomeUnknown);
-  if (!handOn(M, R, Index, Handing{}))
+  Handing How;
+  How.NewRoute_ = moveHere(R) != nullptr;
+  if (!handOn(M, R, Index, How))
     refuse(M, ErrorKind::Overloaded, Answer::OutcomeUnknown);
 }
 
--- a/src/balancer-home.cc
+++ b/src/balancer-home.cc
@@ -21,6 +21,7 @@
 /// any round trip in a region, well within a request's deadline.
 constexpr std::uint32_t PassTryTicks[] = {4, 8, 16, 16};
 constexpr std::uint8_t MaxPassTries = 4;
+constexpr Micros SuspectFor = 10s;
 
 } // namespace
 
@@ -153,9 +154,7 @@
   RequestKey Key{M.Service_, M.Request_, M.Flow_};
   if (Passes_.find(Key))
     return;
-  bool Suspect = std::find(SuspectHomes_.begin(), SuspectHomes_.end(), Home) !=
-                 SuspectHomes_.end();
-  if (Suspect)
+  if (Kind == PeerKind::Pass && Home == R.HomeAt_ && suspects(R.Home_))
     return rehome(M, R, ErrorKind::HomeUnreachable);
   PassRow Row;
   Row.Key_ = Key;
@@ -172,7 +171,6 @@
   std::uint32_t Tick = requestTick(Now_.Mono_);
   Passes_.expire(Tick, [this, Tick](PassRow &Row) {
     if (Row.Tries_ == MaxPassTries) {
-      SuspectHomes_.push_back(Row.Home_);
       return givePassUp(Row, ErrorKind::HomeUnreachable);
     }
     Passes_.rearm(Row, Tick + PassTryTicks[Row.Tries_]);
@@ -185,8 +183,51 @@
   Message M = Row.message();
   Route R;
   if (thymewall::open(M.Route_, Options_.Keys_, M.Service_, M.Flow_, R) ==
-      ErrorKind::None)
+      ErrorKind::None) {
+    if (Row.Kind_ == PeerKind::Pass && Row.Home_ == R.HomeAt_)
+      suspect(R.Home_);
     rehome(M, R, Why);
+  }
+}
+
+bool Balancer::Impl::suspects(Incarnation Home) const {
+  for (const SuspectHome &S : SuspectHomes_)
+    if (S.Home_ == Home)
+      return true;
+  return false;
+}
+
+void Balancer::Impl::suspect(Incarnation Home) {
+  if (!suspects(Home))
+    SuspectHomes_.push_back({Home, Now_.Mono_ + SuspectFor});
+}
+
+/// Takes over a flow whose home does not answer, before any request of it is
+/// lost: requests that were sent under the old route keep it, and new ones come
+/// under ours. Null when the home is not suspected or we can't take the flow.
+FlowRow *Balancer::Impl::moveHere(const Route &R) {
+  if (Stopping_ || isHome(R) || !suspects(R.Home_))
+    return nullptr;
+  std::uint32_t Index = holder(R);
+  if (Index == UpstreamTable::None)
+    return nullptr;
+  FlowRow *Row = homeOf({R.Service_, R.Flow_}, Index);
+  bool Open = Row && Row->Upstream_ != UpstreamTable::None;
+  Counters_.Moved_ += Open ? 1 : 0;
+  return Open ? Row : nullptr;
+}
+
+void Balancer::Impl::tellMoved(const Message &M, const Route &R) {
+  FlowRow *Row = moveHere(R);
+  if (!Row)
+    return;
+  SealedRoute Sealed = routeOf(*Row, R.UpstreamIncarnation_);
+  Message Out;
+  Out.Kind_ = Kind::Moved;
+  Out.Service_ = M.Service_;
+  Out.Flow_ = M.Flow_;
+  Out.Route_ = Sealed.bytes();
+  (*Sink_)(ToCaller{M.Caller_, Out});
 }
 
 /// The old home is gone, or its memory of the flow is: nobody can say whether
--- a/src/balancer-impl.h
+++ b/src/balancer-impl.h
@@ -25,6 +25,12 @@
   MonoTime FreshUntil_{};
 };
 
+/// A home that did not answer of late.
+struct SuspectHome {
+  Incarnation Home_{};
+  MonoTime Until_{};
+};
+
 /// One service under the declaration in force.
 struct ServiceState {
   Service Service_;
@@ -78,6 +84,7 @@
   std::uint32_t requestDue(WallTime Deadline) const;
   double draw();
   std::uint64_t nextAttempt();
+  void reviewPeers();
   void expireRequests();
   void expireFlows();
   void expirePasses();
@@ -134,6 +141,10 @@
   void onRepeated(const Message &M, const Endpoint &From);
   void onPassed(const Message &M, const Endpoint &From, PeerKind Kind);
   void givePassUp(PassRow &Row, ErrorKind Why);
+  bool suspects(Incarnation Home) const;
+  void suspect(Incarnation Home);
+  FlowRow *moveHere(const Route &R);
+  void tellMoved(const Message &M, const Route &R);
 
   // Planned stop (balancer-succession.cc).
   void declareSuccession();
@@ -154,8 +165,8 @@
   std::vector<ServiceState> Services_;
   std::vector<Peer> Peers_;
   std::vector<Succession> Successions_;
-  Succession StopBySuccessors_;        ///< Our own statement, once made.
-  std::vector<Endpoint> SuspectHomes_; ///< Did not answer since last cleared.
+  Succession StopBySuccessors_; ///< Our own statement, once made.
+  std::vector<SuspectHome> SuspectHomes_;
   std::vector<std::uint32_t> EligibleScratch_;
   DeclarationPtr Declaration_;
   HostListPtr HostList_;
@@ -166,7 +177,6 @@
   MonoTime Started_{};
   MonoTime NextTickBy_{};
   MonoTime TrustOldIntentAt_{};
-  MonoTime ClearSuspectsAt_{};
   MonoTime StopBy_{};
   WallTime NextSelectAt_{};
   std::uint64_t Attempts_ = 0;
--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -16,7 +16,6 @@
 constexpr Micros FlowTickLength = 1s;
 /// A woken process that no source answers goes on with its old intent then.
 constexpr Micros TrustOldIntentAfter = 3s;
-constexpr Micros SuspectFor = 1s;
 constexpr Micros PeerFreshFor = 5s;
 constexpr std::size_t MaxSuccessions = 4096;
 
@@ -133,6 +132,10 @@
 void Balancer::Impl::on(const PeerSeen &E) {
   Peer Seen{E.Id_, E.Data_, E.Incarnation_, E.Leaving_,
             Now_.Mono_ + PeerFreshFor};
+  auto Same = [&](const SuspectHome &S) { return S.Home_ == E.Incarnation_; };
+  SuspectHomes_.erase(
+      std::remove_if(SuspectHomes_.begin(), SuspectHomes_.end(), Same),
+      SuspectHomes_.end());
   for (Peer &P : Peers_)
     if (P.Id_ == E.Id_) {
       P = Seen;
@@ -173,15 +176,7 @@
       Now_.Wall_ >= NextSelectAt_ || Now_.Wall_ + 2min < NextSelectAt_;
   if (Declaration_ && MinuteOver)
     select();
-  if (Now_.Mono_ >= ClearSuspectsAt_) {
-    SuspectHomes_.clear();
-    ClearSuspectsAt_ = Now_.Mono_ + SuspectFor;
-  }
-  Peers_.erase(std::remove_if(Peers_.begin(), Peers_.end(),
-                              [this](const Peer &P) {
-                                return P.FreshUntil_ < Now_.Mono_;
-                              }),
-               Peers_.end());
+  reviewPeers();
   expirePasses();
   expireRequests();
   expireFlows();
@@ -189,6 +184,21 @@
     checkStopped();
 }
 
+/// A peer whose heartbeats end is suspected from then on; suspicion ends by
+/// time or with a heartbeat.
+void Balancer::Impl::reviewPeers() {
+  auto Over = [this](const SuspectHome &S) { return S.Until_ < Now_.Mono_; };
+  SuspectHomes_.erase(
+      std::remove_if(SuspectHomes_.begin(), SuspectHomes_.end(), Over),
+      SuspectHomes_.end());
+  auto Silent = [this](const Peer &P) { return P.FreshUntil_ < Now_.Mono_; };
+  for (const Peer &P : Peers_)
+    if (Silent(P))
+      suspect(P.Incarnation_);
+  Peers_.erase(std::remove_if(Peers_.begin(), Peers_.end(), Silent),
+               Peers_.end());
+}
+
 /// A request without its final answer at its deadline is given up; an open is
 /// tried at another upstream first.
 void Balancer::Impl::expireRequests() {
--- a/src/load-run.cc
+++ b/src/load-run.cc
@@ -318,6 +318,8 @@
     return onReset(F, M);
   case Kind::Push:
     return onPush(F, M);
+  case Kind::Moved:
+    return keep(F.Route_, M.Route_);
   default:
     return;
   }
--- a/src/status-server.cc
+++ b/src/status-server.cc
@@ -31,6 +31,7 @@
                                 {"outcome_unknown", C.OutcomeUnknown_},
                                 {"open_retries", C.Retries_},
                                 {"rehomed", C.Rehomed_},
+                                {"moved", C.Moved_},
                                 {"adopted", C.Adopted_},
                                 {"late_wakes", C.LateWakes_}};
   for (std::size_t I = 0; I < C.Steps_.size(); ++I)
--- a/test/balancer-test.cc
+++ b/test/balancer-test.cc
@@ -374,6 +374,32 @@
   CHECK(Other.ToUpstreams_ == 1);
 }
 
+TEST_CASE("a flow moves from a dead home before a request of it is lost") {
+  Bench Home;
+  Home.openFlow();
+  Bench Other(43);
+  Endpoint HomeAt = Endpoint::v4(42, 7100);
+  Other.give(PeerSeen{BalancerId{1}, HomeAt, Incarnation{42}, false});
+  Message Ping;
+  Ping.Kind_ = Kind::Ping;
+  Ping.Route_ = Home.Route_.bytes();
+  Other.fromCaller(Ping);
+  CHECK(!Other.Caller_); // the home lives
+  Other.pass(std::chrono::seconds(6));
+  Other.fromCaller(Ping);
+  REQUIRE(Other.Caller_);
+  CHECK(Other.Caller_->Message_.Kind_ == Kind::Moved);
+  Other.Route_ = Other.Sealed_;
+  int Before = Other.ToUpstreams_;
+  Other.fromCaller(Other.request(1));
+  CHECK(Other.ToUpstreams_ == Before + 1);
+  Other.fromCaller(Home.request(1)); // a copy under the old route
+  CHECK(Other.ToUpstreams_ == Before + 1);
+  Other.give(PeerSeen{BalancerId{1}, HomeAt, Incarnation{42}, false});
+  Other.fromCaller(Ping);
+  CHECK(Other.Core_.counters().Moved_ == 1U);
+}
+
 TEST_CASE("a process that wakes late rereads before it places flows") {
   Bench B;
   B.pass(milliseconds(50));
--- a/test/fleet.cc
+++ b/test/fleet.cc
@@ -11,6 +11,7 @@
 constexpr Micros TickEvery = milliseconds(10);
 constexpr Micros HeartbeatEvery = milliseconds(500);
 constexpr Micros ResendEvery = milliseconds(100);
+constexpr Micros PingEvery = milliseconds(700);
 constexpr Micros DeadlineAfter = seconds(1);
 constexpr Micros Grace = milliseconds(500);
 constexpr Micros LeaveWithin = seconds(3);
@@ -500,6 +501,17 @@
   at(Now_ + ResendEvery, [this, C, Turn] { resend(C, Turn); });
 }
 
+void Fleet::ping(std::size_t C, FlowId Of) {
+  Caller &Who = Callers_[C];
+  if (Who.Flow_ != Of)
+    return;
+  Message M;
+  M.Kind_ = Kind::Ping;
+  M.Route_ = Who.Route_.bytes();
+  send(C, M);
+  at(Now_ + PingEvery, [this, C, Of] { ping(C, Of); });
+}
+
 void Fleet::send(std::size_t C, Message M) {
   Caller &Who = Callers_[C];
   M.Flow_ = Who.Flow_;
@@ -538,8 +550,11 @@
     Who.Open_ = true;
     ++Seen_.Opened_;
     KeepRoute();
+    ping(C, Who.Flow_);
     return nextRequest(C);
   }
+  if (M.Kind_ == Kind::Moved && Who.Open_)
+    return KeepRoute();
   bool Broken = M.Reason_ == ErrorKind::FlowUnknown;
   if (!Who.Open_ && (M.Kind_ == Kind::Refused || M.Kind_ == Kind::Reset)) {
     std::uint64_t Turn = ++Who.Turn_;
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -160,6 +160,7 @@
   void openFlow(std::size_t C);
   void nextRequest(std::size_t C);
   void resend(std::size_t C, std::uint64_t Turn);
+  void ping(std::size_t C, FlowId Of);
   void send(std::size_t C, Message M);
   void callerReceives(std::size_t C, const Wire &Bytes);
   void finished(std::size_t C, std::uint64_t &Total);
