Two draws weighted by slots take the place of rendezvous over all upstreams

Ruled out: the flow and request tables (an open's cost did not grow with flows). Change: eligible upstreams are kept with running sums of slots until an ejection, a host list or a declaration changes them; both candidates are drawn from the flow's hash in O(log n). Rendezvous kept a flow's candidates when others left; no step of the resolver looks candidates up again, since the route carries the placement.

--- a/include/thymewall/upstream-table.h
+++ b/include/thymewall/upstream-table.h
@@ -30,25 +30,37 @@
   bool Remembers_ = false;
 };
 
+/// The upstreams that take new flows of a service, with the running sum of
+/// their slots, which lets a draw weighted by slots cost O(log n).
+struct Eligible {
+  std::vector<std::uint32_t> Indexes_; ///< Into the upstream table.
+  std::vector<std::uint64_t> SlotsUpTo_;
+
+  bool empty() const { return Indexes_.empty(); }
+  std::size_t size() const { return Indexes_.size(); }
+  void clear();
+  void add(std::uint32_t Index, std::uint32_t Slots);
+};
+
 /// What a chooser sees. It returns an index into `Eligible_`, which is not
 /// empty.
 struct Choice {
   FlowKey Flow_;
-  const std::vector<std::uint32_t> &Eligible_;
+  const Eligible &Eligible_;
   const std::vector<UpstreamRow> &Rows_;
   MonoTime Now_;
 };
 using Chooser = std::function<std::size_t(const Choice &)>;
 
-/// The first candidate by weighted rendezvous hashing, whatever its load.
+/// The first candidate, whatever its load.
 std::size_t choosePlainHash(const Choice &C);
 /// The less loaded of two candidates, by this balancer's own flows per slot.
 std::size_t chooseTwoOwn(const Choice &C);
 /// The less loaded of two candidates, by the upstreams' own reports.
 std::size_t chooseTwoReported(const Choice &C);
 
-/// The two best of `Eligible_` by rendezvous hashing weighted by slots
-/// (Thaler and Ravishankar 1998); both are 0 when there is just one.
+/// Two different candidates for a flow, drawn from its hash and weighted by
+/// slots; both are 0 when there is just one.
 std::pair<std::size_t, std::size_t> candidates(const Choice &C);
 
 class UpstreamTable {
@@ -71,9 +83,14 @@
   /// Forgets every ejection and failure (after a late wake).
   void forgetBeliefs();
 
-  /// Takes the ejected out of \p Selected, but never more than half of it.
+  /// Takes the leaving out of \p Selected, and the ejected, but of these never
+  /// more than half. Holds until `generation` changes.
   void eligibleNow(const std::vector<std::uint32_t> &Selected, MonoTime Now,
-                   std::vector<std::uint32_t> &Into) const;
+                   Eligible &Into) const;
+  /// Changes whenever `eligibleNow` may give something else.
+  std::uint64_t generation() const { return Generation_; }
+  /// Ends the ejections that are over.
+  void review(MonoTime Now);
 
   static constexpr std::uint32_t None = ~0U;
   std::uint32_t byId(UpstreamId Id) const;
@@ -88,6 +105,8 @@
   std::vector<UpstreamRow> Rows_;
   std::unordered_map<std::uint32_t, std::uint32_t> ById_;
   std::unordered_map<Endpoint, std::uint32_t, EndpointHash> ByEndpoint_;
+  std::uint64_t Generation_ = 1;
+  MonoTime NextReturn_ = MonoTime::max(); ///< Of an ejected upstream.
   bool Started_ = false;
 };
 
--- a/src/balancer-caller.cc
+++ b/src/balancer-caller.cc
@@ -95,28 +95,36 @@
     return refuse(M, ErrorKind::DeadlinePassed, Answer::NotRun);
   double Earned = S->RetryTokens_ + S->Service_.RetryBudget_;
   S->RetryTokens_ = std::min(Earned, MaxRetryTokens);
-  placeFlow(M, *S, UpstreamTable::None);
+  placeFlow(M, *S);
+}
+
+const Eligible &Balancer::Impl::eligibleOf(ServiceState &S) {
+  if (S.Generation_ == Upstreams_.generation())
+    return S.Eligible_;
+  Upstreams_.eligibleNow(S.Selected_, Now_.Mono_, S.Eligible_);
+  S.Generation_ = Upstreams_.generation();
+  return S.Eligible_;
+}
+
+std::uint32_t Balancer::Impl::choose(const FlowKey &Key,
+                                     const Eligible &Among) const {
+  Choice C{Key, Among, Upstreams_.rows(), Now_.Mono_};
+  return Among.Indexes_[Options_.Chooser_(C)];
 }
 
 /// Chooses an upstream and sends it the open. A flow that this balancer has
 /// placed before (its `opened` was lost) goes to the same upstream.
-void Balancer::Impl::placeFlow(const Message &M, ServiceState &S,
-                               std::uint32_t Avoid) {
+void Balancer::Impl::placeFlow(const Message &M, ServiceState &S) {
   FlowKey Key{M.Service_, M.Flow_};
   FlowRow *Placed = Flows_.find(Key);
   std::uint32_t Index = Placed ? Placed->Upstream_ : UpstreamTable::None;
   if (Placed && Index == UpstreamTable::None)
     return drop(ErrorKind::NumberUsed); // a late copy of a closed flow's open
   if (Index == UpstreamTable::None) {
-    Upstreams_.eligibleNow(S.Selected_, Now_.Mono_, EligibleScratch_);
-    auto Avoided =
-        std::find(EligibleScratch_.begin(), EligibleScratch_.end(), Avoid);
-    if (Avoided != EligibleScratch_.end() && EligibleScratch_.size() > 1)
-      EligibleScratch_.erase(Avoided);
-    if (EligibleScratch_.empty())
+    const Eligible &Among = eligibleOf(S);
+    if (Among.empty())
       return refuse(M, ErrorKind::NoUpstream, Answer::NotRun);
-    Choice C{Key, EligibleScratch_, Upstreams_.rows(), Now_.Mono_};
-    Index = EligibleScratch_[Options_.Chooser_(C)];
+    Index = choose(Key, Among);
   }
   RequestRow Row;
   Row.Key_ = keyOf(M);
@@ -159,18 +167,16 @@
     --Last.OwnFlows_;
   bool May = S && !Placed && Row.Tries_ < MaxOpenTries &&
              S->RetryTokens_ >= 1 && Now_.Wall_ < Row.Deadline_;
-  if (May) {
-    Upstreams_.eligibleNow(S->Selected_, Now_.Mono_, EligibleScratch_);
-    EligibleScratch_.erase(std::remove(EligibleScratch_.begin(),
-                                       EligibleScratch_.end(), Row.Upstream_),
-                           EligibleScratch_.end());
-  }
-  if (!May || EligibleScratch_.empty())
+  Eligible Others;
+  if (May)
+    for (std::uint32_t Index : eligibleOf(*S).Indexes_)
+      if (Index != Row.Upstream_)
+        Others.add(Index, Upstreams_[Index].Slots_);
+  if (Others.empty())
     return refuseRow(Row, Why, Answer::NotRun);
   S->RetryTokens_ -= 1;
   ++Counters_.Retries_;
-  Choice C{Key, EligibleScratch_, Upstreams_.rows(), Now_.Mono_};
-  Row.Upstream_ = EligibleScratch_[Options_.Chooser_(C)];
+  Row.Upstream_ = choose(Key, Others);
   Row.Attempt_ = nextAttempt();
   ++Row.Tries_;
   ++Upstreams_[Row.Upstream_].OwnFlows_;
--- a/src/balancer-impl.h
+++ b/src/balancer-impl.h
@@ -36,6 +36,8 @@
   Service Service_;
   std::vector<std::uint32_t> Selected_; ///< Indexes of its upstreams now.
   double RetryTokens_ = 0;
+  Eligible Eligible_;            ///< Of `Selected_`, as of `Generation_`.
+  std::uint64_t Generation_ = 0; ///< 0: to be worked out.
 };
 
 /// How a request that may not be repeated came to this process as its home.
@@ -91,7 +93,9 @@
 
   // Callers (balancer-caller.cc).
   void openFlow(Message M, bool MayPass);
-  void placeFlow(const Message &M, ServiceState &S, std::uint32_t Avoid);
+  void placeFlow(const Message &M, ServiceState &S);
+  const Eligible &eligibleOf(ServiceState &S);
+  std::uint32_t choose(const FlowKey &Key, const Eligible &Among) const;
   void sendOpen(const RequestRow &Row);
   void retryOpen(RequestRow &Row, ErrorKind Why);
   void request(const Message &M);
@@ -167,7 +171,6 @@
   std::vector<Succession> Successions_;
   Succession StopBySuccessors_; ///< Our own statement, once made.
   std::vector<SuspectHome> SuspectHomes_;
-  std::vector<std::uint32_t> EligibleScratch_;
   DeclarationPtr Declaration_;
   HostListPtr HostList_;
   Micros LongestDeadlineSeen_{};
--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -98,7 +98,7 @@
   std::vector<ServiceState> Old;
   Old.swap(Services_);
   for (const Service &S : Declaration_->Services_) {
-    Services_.push_back({S, {}, 0});
+    Services_.push_back({S, {}, 0, {}, 0});
     LongestDeadlineSeen_ = std::max(LongestDeadlineSeen_, S.DeadlineAfter_);
     for (const ServiceState &Before : Old)
       if (Before.Service_.Id_ == S.Id_)
@@ -163,6 +163,7 @@
   for (std::size_t I = 0; I < Services_.size(); ++I) {
     ServiceState &S = Services_[I];
     S.Selected_.clear();
+    S.Generation_ = 0;
     for (std::size_t Index : eligible(*Declaration_, Declaration_->Services_[I],
                                       Options_.Zones_, Now_.Wall_))
       S.Selected_.push_back(
@@ -177,6 +178,7 @@
   if (Declaration_ && MinuteOver)
     select();
   reviewPeers();
+  Upstreams_.review(Now_.Mono_);
   expirePasses();
   expireRequests();
   expireFlows();
--- a/src/upstream-table.cc
+++ b/src/upstream-table.cc
@@ -3,7 +3,6 @@
 #include "mechanism.h"
 
 #include <algorithm>
-#include <cmath>
 #include <xxhash.h>
 
 namespace thymewall {
@@ -15,12 +14,6 @@
   return (static_cast<double>(Hash >> 11) + 1) / 9007199254740992.0;
 }
 
-double score(const Choice &C, const UpstreamRow &Row) {
-  std::uint64_t Name = hashPair(raw(C.Flow_.Service_), raw(Row.Id_));
-  double Uniform = unit(hashPair(raw(C.Flow_.Flow_), Name));
-  return -static_cast<double>(Row.Slots_) / std::log(Uniform);
-}
-
 /// A cold upstream takes a share of its candidates that grows to all of them.
 bool admitsWhileCold(const Choice &C, const UpstreamRow &Row) {
   if (C.Now_ >= Row.WarmAt_)
@@ -33,7 +26,7 @@
 }
 
 const UpstreamRow &rowOf(const Choice &C, std::size_t Index) {
-  return C.Rows_[C.Eligible_[Index]];
+  return C.Rows_[C.Eligible_.Indexes_[Index]];
 }
 
 /// The less loaded of two candidates, by a load given as flows.
@@ -53,23 +46,32 @@
 
 } // namespace
 
+void Eligible::clear() {
+  Indexes_.clear();
+  SlotsUpTo_.clear();
+}
+
+void Eligible::add(std::uint32_t Index, std::uint32_t Slots) {
+  std::uint64_t Before = SlotsUpTo_.empty() ? 0 : SlotsUpTo_.back();
+  Indexes_.push_back(Index);
+  SlotsUpTo_.push_back(Before + Slots);
+}
+
 std::pair<std::size_t, std::size_t> candidates(const Choice &C) {
-  std::pair<std::size_t, std::size_t> Best{0, 0};
-  double BestScore = -1;
-  double NextScore = -1;
-  for (std::size_t I = 0; I < C.Eligible_.size(); ++I) {
-    double Score = score(C, rowOf(C, I));
-    if (Score > BestScore) {
-      Best.second = Best.first;
-      NextScore = BestScore;
-      Best.first = I;
-      BestScore = Score;
-    } else if (Score > NextScore) {
-      Best.second = I;
-      NextScore = Score;
-    }
-  }
-  return Best;
+  const std::vector<std::uint64_t> &UpTo = C.Eligible_.SlotsUpTo_;
+  auto At = [&](std::uint64_t Slot) {
+    return static_cast<std::size_t>(
+        std::upper_bound(UpTo.begin(), UpTo.end(), Slot) - UpTo.begin());
+  };
+  if (UpTo.size() < 2)
+    return {0, 0};
+  std::uint64_t Hash = FlowRow::hash(C.Flow_);
+  std::size_t First = At(Hash % UpTo.back());
+  // The second draw leaves out the first one's slots.
+  std::uint64_t Begin = First == 0 ? 0 : UpTo[First - 1];
+  std::uint64_t Width = UpTo[First] - Begin;
+  std::uint64_t Slot = hashPair(Hash, 1) % (UpTo.back() - Width);
+  return {First, At(Slot < Begin ? Slot : Slot + Width)};
 }
 
 std::size_t choosePlainHash(const Choice &C) { return candidates(C).first; }
@@ -105,12 +107,15 @@
     ByEndpoint_[U.At_] = Known->second;
   }
   Started_ = true;
+  ++Generation_;
 }
 
 void UpstreamTable::setLeaving(UpstreamId Id, bool Leaving) {
   std::uint32_t Index = byId(Id);
-  if (Index != None)
-    Rows_[Index].Leaving_ = Leaving;
+  if (Index == None || Rows_[Index].Leaving_ == Leaving)
+    return;
+  Rows_[Index].Leaving_ = Leaving;
+  ++Generation_;
 }
 
 std::uint32_t UpstreamTable::adopt(UpstreamId Id, const Endpoint &At) {
@@ -143,6 +148,8 @@
   auto Spread = std::chrono::duration_cast<Micros>(Ejection * (0.5 + Jitter));
   Row.EjectedUntil_ = Now + Spread;
   Row.Failures_ = 0;
+  NextReturn_ = std::min(NextReturn_, Row.EjectedUntil_);
+  ++Generation_;
 }
 
 void UpstreamTable::forgetBeliefs() {
@@ -150,11 +157,21 @@
     Row.Failures_ = 0;
     Row.EjectedUntil_ = {};
   }
+  ++Generation_;
+}
+
+void UpstreamTable::review(MonoTime Now) {
+  if (Now < NextReturn_)
+    return;
+  NextReturn_ = MonoTime::max();
+  for (const UpstreamRow &Row : Rows_)
+    if (Row.EjectedUntil_ > Now)
+      NextReturn_ = std::min(NextReturn_, Row.EjectedUntil_);
+  ++Generation_;
 }
 
 void UpstreamTable::eligibleNow(const std::vector<std::uint32_t> &Selected,
-                                MonoTime Now,
-                                std::vector<std::uint32_t> &Into) const {
+                                MonoTime Now, Eligible &Into) const {
   Into.clear();
   std::size_t Present = 0;
   for (std::uint32_t Index : Selected) {
@@ -163,14 +180,14 @@
       continue;
     ++Present;
     if (Row.EjectedUntil_ <= Now)
-      Into.push_back(Index);
+      Into.add(Index, Row.Slots_);
   }
   if (2 * Into.size() >= Present)
     return;
   Into.clear();
   for (std::uint32_t Index : Selected)
     if (!Rows_[Index].Leaving_)
-      Into.push_back(Index);
+      Into.add(Index, Rows_[Index].Slots_);
 }
 
 std::uint32_t UpstreamTable::byId(UpstreamId Id) const {
