--- a/test/standin/upstream.cc
+++ b/test/standin/upstream.cc
@@ -21,7 +21,7 @@
 using Json = nlohmann::json;
 using SteadyTime = std::chrono::steady_clock::time_point;
 
-constexpr auto HalfOpenFor = std::chrono::seconds(10);
+constexpr auto HalfOpenFor = std::chrono::seconds(30);
 constexpr auto SampleEvery = std::chrono::milliseconds(250);
 constexpr auto RefusedRetryAfter = std::chrono::milliseconds(100);
 constexpr std::size_t AnswerSize = 200;
