Two watchers a data hall, known by gossip; one link a pair; pauses grow with the fleet

Cause: a balancer took every listed balancer that it has no link to for silent and stepped in as a watcher, so the platform was called five times too often at 96 balancers; balancers that chose each other held two links; and a platform that was down was called by each process every 300 ms. Ruled out: short watches (each waits 5 s, as at 8 balancers). Change: heartbeats carry the ages of the hall's freshest few answers of the platform; of two links the one that the later name opened is closed; each failed call doubles the pause, up to 2 ms for each listed host.

--- a/include/thymewall/control.h
+++ b/include/thymewall/control.h
@@ -29,6 +29,14 @@
 }
 using DocumentVersions = std::array<DocumentVersion, DocumentKinds>;
 
+/// When a balancer of the sender's data hall last had an answer from the
+/// platform, as far as the sender has heard.
+struct WatcherAge {
+  BalancerId Watcher_{};
+  std::uint32_t AgeMs_ = 0;
+};
+constexpr std::size_t MaxWatcherAges = 4;
+
 /// Sent on every link each second, and at once when a version changes.
 struct Heartbeat {
   std::string Name_;
@@ -36,7 +44,8 @@
   Incarnation Incarnation_{};
   bool Leaving_ = false;
   DocumentVersions Versions_{};
-  std::uint64_t Answers_ = 0; ///< The `FreshnessAsked` that it answers.
+  std::vector<WatcherAge> Watchers_; ///< The freshest few.
+  std::uint64_t Answers_ = 0;        ///< The `FreshnessAsked` that it answers.
 };
 /// Asks for a heartbeat made after this was sent.
 struct FreshnessAsked {
@@ -73,7 +82,8 @@
                               const std::string &DataHall, std::size_t Limit);
 
 /// True when \p Self is among the \p PerHall balancers of its data hall that
-/// watch the platform. \p Silent names hosts that are listed but not heard.
+/// watch the platform. \p Silent names those that are not known to have had an
+/// answer of it of late: others step in for them.
 bool watchesPlatform(const HostList &Hosts, const std::string &Self,
                      const std::string &DataHall, std::size_t PerHall,
                      const std::vector<std::string> &Silent);
--- a/src/balancer-process.cc
+++ b/src/balancer-process.cc
@@ -24,6 +24,9 @@
 /// News that no `RereadSources` asked for: enough for a process that has just
 /// started, not for one that has woken late.
 constexpr std::uint64_t Unasked = 0;
+/// Keeps the calls of a whole fleet that finds the platform down under 1,000 a
+/// second, at two documents a host.
+constexpr std::chrono::milliseconds PausePerHost(2);
 constexpr auto WatchReviewEvery = std::chrono::seconds(1);
 
 Moment now() {
@@ -259,6 +262,7 @@
 }
 
 void BalancerProcess::Impl::onPlatform(const PlatformAnswer &Answer) {
+  Control_.noteWatched();
   if (Answer.Text_.empty()) {
     if (Answer.Kind_ == DocumentKind::Declaration)
       give(SourceConfirmed{Answer.Asked_});
@@ -302,6 +306,7 @@
         Hosts_ = Read;
         give(HostListRead{Read});
         Platform_.setKnown(DocumentKind::Hosts, Read->Version_);
+        Platform_.setLongestPause(PausePerHost * Read->Hosts_.size());
         Control_.setHosts(Read);
         Control_.setDocument(
             DocumentKind::Hosts,
@@ -350,7 +355,7 @@
   bool Watching =
       !Hosts_ ||
       watchesPlatform(*Hosts_, Settings_.Name_, Settings_.DataHall_,
-                      Settings_.WatchersPerHall_, Control_.silentPeers());
+                      Settings_.WatchersPerHall_, Control_.silentWatchers());
   Platform_.setWatching(Watching);
   WatchTimer_.expires_after(WatchReviewEvery);
   WatchTimer_.async_wait([this](const asio::error_code &Error) {
--- a/src/control-plane.cc
+++ b/src/control-plane.cc
@@ -1,5 +1,6 @@
 #include "control-plane.h"
 
+#include <algorithm>
 #include <asio/steady_timer.hpp>
 #include <map>
 #include <set>
@@ -16,7 +17,8 @@
 using SteadyTime = std::chrono::steady_clock::time_point;
 
 constexpr auto HeartbeatEvery = 1s;
-constexpr auto SilentAfter = 5s;
+/// News of a watcher crosses a data hall in a few heartbeats.
+constexpr auto SilentAfter = 20s;
 constexpr std::size_t MaxSuccessionsKept = 256;
 
 // The member names are the library's.
@@ -67,7 +69,8 @@
   void setLeaving();
   void askFreshness(std::uint64_t Asked);
   void tell(const Succession &S);
-  std::vector<std::string> silentPeers() const;
+  void noteWatched();
+  std::vector<std::string> silentWatchers() const;
   ControlCounters counters() const;
 
 private:
@@ -84,8 +87,11 @@
   void send(const Handle &Which, const ControlMessage &M);
   void sendAll(const ControlMessage &M);
   Heartbeat heartbeat() const;
+  void learnWatchers(const Heartbeat &M);
+  std::vector<WatcherAge> freshestWatchers() const;
   void keepLinks();
   void connect(const std::string &Target);
+  void closeSpareLink(const Handle &Which, const std::string &Peer);
   bool linkedTo(const std::string &Name, const std::string &Target) const;
   void schedule();
 
@@ -99,7 +105,8 @@
   std::array<Document, DocumentKinds> Documents_;
   std::map<Handle, Link, HandleLess> Links_;
   std::set<std::string> Connecting_;
-  std::map<std::string, SteadyTime> SilentBy_; ///< By peer name.
+  std::map<std::string, std::string> HallOf_;  ///< By balancer name.
+  std::map<BalancerId, SteadyTime> WatchedAt_; ///< In our data hall.
   std::vector<Succession> Successions_;
   ControlCounters Counters_;
   bool Leaving_ = false;
@@ -181,7 +188,8 @@
   auto Known = Links_.find(Which);
   if (Known != Links_.end())
     Known->second.Peer_ = M.Name_;
-  SilentBy_[M.Name_] = std::chrono::steady_clock::now() + SilentAfter;
+  closeSpareLink(Which, M.Name_);
+  learnWatchers(M);
   Hooks_.OnHeartbeat_(M);
   bool Newer = false;
   for (std::size_t K = 0; K < DocumentKinds; ++K)
@@ -245,9 +253,38 @@
   M.Leaving_ = Leaving_;
   for (std::size_t K = 0; K < DocumentKinds; ++K)
     M.Versions_[K] = Documents_[K].Which_;
+  M.Watchers_ = freshestWatchers();
   return M;
 }
 
+std::vector<WatcherAge> ControlPlane::Impl::freshestWatchers() const {
+  auto Now = std::chrono::steady_clock::now();
+  std::vector<WatcherAge> Result;
+  for (const auto &[Watcher, At] : WatchedAt_) {
+    auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(Now - At);
+    if (Age < SilentAfter)
+      Result.push_back({Watcher, static_cast<std::uint32_t>(Age.count())});
+  }
+  std::sort(Result.begin(), Result.end(),
+            [](const WatcherAge &A, const WatcherAge &B) {
+              return A.AgeMs_ < B.AgeMs_;
+            });
+  Result.resize(std::min(Result.size(), MaxWatcherAges));
+  return Result;
+}
+
+void ControlPlane::Impl::learnWatchers(const Heartbeat &M) {
+  auto Hall = HallOf_.find(M.Name_);
+  if (Hall == HallOf_.end() || Hall->second != Settings_.DataHall_)
+    return;
+  auto Now = std::chrono::steady_clock::now();
+  for (const WatcherAge &W : M.Watchers_) {
+    SteadyTime At = Now - std::chrono::milliseconds(W.AgeMs_);
+    SteadyTime &Known = WatchedAt_[W.Watcher_];
+    Known = std::max(Known, At);
+  }
+}
+
 bool ControlPlane::Impl::linkedTo(const std::string &Name,
                                   const std::string &Target) const {
   if (Connecting_.count(Target) != 0)
@@ -286,6 +323,21 @@
   Client_.connect(Connection);
 }
 
+/// Of two links between two balancers, the one that the later name opened goes.
+void ControlPlane::Impl::closeSpareLink(const Handle &Which,
+                                        const std::string &Peer) {
+  auto Known = Links_.find(Which);
+  bool Ours = Known != Links_.end() && !Known->second.Accepted_;
+  auto Count =
+      std::count_if(Links_.begin(), Links_.end(), [&](const auto &Item) {
+        return Item.second.Peer_ == Peer;
+      });
+  if (!Ours || Count < 2 || Settings_.Name_ < Peer)
+    return;
+  websocketpp::lib::error_code Ignored;
+  Client_.close(Which, websocketpp::close::status::normal, "", Ignored);
+}
+
 void ControlPlane::Impl::schedule() {
   Timer_.expires_after(HeartbeatEvery);
   Timer_.async_wait([this](const asio::error_code &Error) {
@@ -299,6 +351,9 @@
 
 void ControlPlane::Impl::setHosts(HostListPtr Hosts) {
   Hosts_ = std::move(Hosts);
+  HallOf_.clear();
+  for (const Host &H : Hosts_->Hosts_)
+    HallOf_[H.Name_] = H.DataHall_;
   keepLinks();
 }
 
@@ -328,16 +383,19 @@
   sendAll(SuccessionSent{S});
 }
 
-std::vector<std::string> ControlPlane::Impl::silentPeers() const {
-  std::vector<std::string> Result;
-  if (!Hosts_)
-    return Result;
+void ControlPlane::Impl::noteWatched() {
+  WatchedAt_[static_cast<BalancerId>(nameId(Settings_.Name_))] =
+      std::chrono::steady_clock::now();
+}
+
+std::vector<std::string> ControlPlane::Impl::silentWatchers() const {
   auto Now = std::chrono::steady_clock::now();
-  for (const Host &H : Hosts_->Hosts_) {
-    auto Known = SilentBy_.find(H.Name_);
-    bool Silent = Known == SilentBy_.end() || Known->second < Now;
-    if (H.Role_ == Host::Role::Balancer && Silent)
-      Result.push_back(H.Name_);
+  std::vector<std::string> Result;
+  for (const auto &[Name, Hall] : HallOf_) {
+    auto Known = WatchedAt_.find(static_cast<BalancerId>(nameId(Name)));
+    bool Fresh = Known != WatchedAt_.end() && Now - Known->second < SilentAfter;
+    if (Hall == Settings_.DataHall_ && !Fresh)
+      Result.push_back(Name);
   }
   return Result;
 }
@@ -366,8 +424,9 @@
   Impl_->askFreshness(Asked);
 }
 void ControlPlane::tell(const Succession &S) { Impl_->tell(S); }
-std::vector<std::string> ControlPlane::silentPeers() const {
-  return Impl_->silentPeers();
+void ControlPlane::noteWatched() { Impl_->noteWatched(); }
+std::vector<std::string> ControlPlane::silentWatchers() const {
+  return Impl_->silentWatchers();
 }
 ControlCounters ControlPlane::counters() const { return Impl_->counters(); }
 
--- a/src/control-plane.h
+++ b/src/control-plane.h
@@ -47,8 +47,11 @@
   void askFreshness(std::uint64_t Asked);
   /// Sends a succession to every link, and on every link that opens later.
   void tell(const Succession &S);
-  /// Listed balancers in our data hall that no link has heard of late.
-  std::vector<std::string> silentPeers() const;
+  /// Notes that the platform has answered this balancer.
+  void noteWatched();
+  /// Listed balancers of our data hall that are not known to have had an answer
+  /// of the platform of late.
+  std::vector<std::string> silentWatchers() const;
   ControlCounters counters() const;
 
 private:
--- a/src/control.cc
+++ b/src/control.cc
@@ -25,12 +25,16 @@
   Json Versions = Json::array();
   for (const DocumentVersion &V : M.Versions_)
     Versions.push_back({V.Version_, V.Digest_});
+  Json Watchers = Json::array();
+  for (const WatcherAge &W : M.Watchers_)
+    Watchers.push_back(Json::array({raw(W.Watcher_), W.AgeMs_}));
   return {raw(Type::Heartbeat),
           M.Name_,
           formatEndpoint(M.Data_),
           raw(M.Incarnation_),
           M.Leaving_,
           Versions,
+          Watchers,
           M.Answers_};
 }
 
@@ -82,7 +86,12 @@
   for (std::size_t I = 0; I < DocumentKinds; ++I)
     M.Versions_[I] = {J.at(5).at(I).at(0).get<Version>(),
                       J.at(5).at(I).at(1).get<std::uint64_t>()};
-  M.Answers_ = J.at(6).get<std::uint64_t>();
+  require(J.at(6).is_array() && J.at(6).size() <= MaxWatcherAges);
+  for (const Json &Item : J.at(6))
+    M.Watchers_.push_back(
+        {static_cast<BalancerId>(Item.at(0).get<std::uint32_t>()),
+         Item.at(1).get<std::uint32_t>()});
+  M.Answers_ = J.at(7).get<std::uint64_t>();
   return M;
 }
 
--- a/src/platform-client.cc
+++ b/src/platform-client.cc
@@ -6,6 +6,7 @@
 #include <future>
 #include <httplib.h>
 #include <mutex>
+#include <random>
 #include <thread>
 
 namespace thymewall::detail {
@@ -15,7 +16,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto WatchFor = 5s;
-constexpr auto RetryAfter = 300ms;
+constexpr std::chrono::milliseconds RetryAfter = 300ms;
 constexpr auto TakenWithin = 200ms;
 const char *const Paths[DocumentKinds] = {"/v1/watch/declaration",
                                           "/v1/watch/hosts"};
@@ -49,6 +50,10 @@
 
   void setKnown(std::size_t Kind, Version Known) { Known_[Kind] = Known; }
 
+  void setLongestPause(std::chrono::milliseconds Pause) {
+    LongestPauseMs_ = std::max(Pause, RetryAfter).count();
+  }
+
   void setWatching(bool Watching) {
     {
       std::lock_guard<std::mutex> Guard(Mutex_);
@@ -83,12 +88,20 @@
 
   void run(std::size_t Kind) {
     bool Wait = false;
+    auto Pause = RetryAfter;
+    std::minstd_rand Random(std::random_device{}());
     while (next(Kind, Wait)) {
-      if (call(Kind, Wait))
+      if (call(Kind, Wait)) {
+        Pause = RetryAfter;
         continue;
+      }
       std::unique_lock<std::mutex> Guard(Mutex_);
       ReadNow_[Kind] = ReadNow_[Kind] || !Wait; // a failed read is repeated
-      Changed_.wait_for(Guard, RetryAfter, [&] { return Ending_; });
+      std::uniform_real_distribution<double> Spread(0.5, 1);
+      Changed_.wait_for(Guard, Pause * Spread(Random),
+                        [&] { return Ending_ || Asked_ != Heeded_[Kind]; });
+      Heeded_[Kind] = Asked_;
+      Pause = std::min(Pause * 2, std::chrono::milliseconds(LongestPauseMs_));
     }
   }
 
@@ -129,6 +142,8 @@
   std::array<std::atomic<Version>, DocumentKinds> Known_{};
   std::atomic<std::uint64_t> Calls_{0};
   std::atomic<std::uint64_t> Asked_{0};
+  std::atomic<std::int64_t> LongestPauseMs_{RetryAfter.count()};
+  std::array<std::uint64_t, DocumentKinds> Heeded_{}; ///< Guarded.
   std::mutex Mutex_;
   std::condition_variable Changed_;
   std::array<bool, DocumentKinds> ReadNow_{true, true};
@@ -147,6 +162,9 @@
 void PlatformClient::setWatching(bool Watching) {
   Impl_->setWatching(Watching);
 }
+void PlatformClient::setLongestPause(std::chrono::milliseconds Pause) {
+  Impl_->setLongestPause(Pause);
+}
 void PlatformClient::readNow(std::uint64_t Asked) { Impl_->readNow(Asked); }
 std::uint64_t PlatformClient::calls() const { return Impl_->calls(); }
 
--- a/src/platform-client.h
+++ b/src/platform-client.h
@@ -31,6 +31,9 @@
   void setKnown(DocumentKind Kind, Version Known);
   /// Whether to keep a watch open; one read is made at the start anyway.
   void setWatching(bool Watching);
+  /// Longest pause after failed calls; each failure doubles the pause up to
+  /// it, so that a platform that comes back is not met by all at once.
+  void setLongestPause(std::chrono::milliseconds Pause);
   /// Reads every document once, now.
   void readNow(std::uint64_t Asked);
   /// Calls made so far: each counts against the platform's budget.
--- a/test/control-test.cc
+++ b/test/control-test.cc
@@ -41,6 +41,7 @@
   H.Leaving_ = true;
   H.Versions_[0] = {5, 6};
   H.Answers_ = 3;
+  H.Watchers_ = {{BalancerId{7}, 1500}};
   Heartbeat Read = roundTrip(H);
   CHECK(Read.Name_ == H.Name_);
   CHECK(Read.Data_ == H.Data_);
@@ -48,6 +49,9 @@
   CHECK(Read.Leaving_);
   CHECK(Read.Versions_ == H.Versions_);
   CHECK(Read.Answers_ == 3U);
+  REQUIRE(Read.Watchers_.size() == 1U);
+  CHECK(Read.Watchers_[0].Watcher_ == BalancerId{7});
+  CHECK(Read.Watchers_[0].AgeMs_ == 1500U);
   CHECK(roundTrip(DocumentWanted{DocumentKind::Hosts}).Kind_ ==
         DocumentKind::Hosts);
   CHECK(roundTrip(DocumentSent{DocumentKind::Hosts, "text"}).Text_ == "text");
