--- a/include/thymewall/balancer.h
+++ b/include/thymewall/balancer.h
@@ -143,6 +143,7 @@
   std::size_t Requests_ = 0;
   std::size_t Passes_ = 0;
   std::size_t MemoryBytes_ = 0; ///< Of the three tables.
+  MonoTime Now_{};              ///< Of the last event; tells who is ejected.
   std::vector<UpstreamRow> Upstreams_;
 };
 
--- a/include/thymewall/settings.h
+++ b/include/thymewall/settings.h
@@ -28,6 +28,11 @@
 boost::leaf::result<Settings> parseSettings(const std::string &Text,
                                             const std::string &File);
 
+/// Parses the operators' command's settings, {"balancers": [ADDRESS, ...]},
+/// into the status addresses; the error object is `Problems`.
+boost::leaf::result<std::vector<std::string>>
+parseCtlSettings(const std::string &Text, const std::string &File);
+
 } // namespace thymewall
 
 #endif
--- a/src/balancer.cc
+++ b/src/balancer.cc
@@ -240,6 +240,7 @@
   S.Requests_ = Requests_.size();
   S.Passes_ = Passes_.size();
   S.MemoryBytes_ = Flows_.memory() + Requests_.memory() + Passes_.memory();
+  S.Now_ = Now_.Mono_;
   S.Upstreams_ = Upstreams_.rows();
   return S;
 }
--- a/src/ctl-main.cc
+++ b/src/ctl-main.cc
@@ -146,9 +146,18 @@
   return Json::parse(Result->body);
 }
 
+/// One line for an upstream that drains or is ejected, none for others.
+void printUpstream(const Json &U) {
+  bool Draining = !U.at("declared").get<bool>() || U.at("leaving").get<bool>();
+  bool Ejected = U.at("ejected").get<bool>();
+  if (!Draining && !Ejected)
+    return;
+  std::cout << "  " << U.at("name").get<std::string>()
+            << (Draining ? ": draining" : "") << (Ejected ? ": ejected" : "")
+            << ", own flows " << U.at("own_flows") << "\n";
+}
+
 int status(const std::vector<std::string> &Addresses) {
-  if (Addresses.empty())
-    throw UsageError("status needs the status ADDRESS of each balancer");
   bool AllAnswered = true;
   for (const std::string &Address : Addresses) {
     std::optional<Json> Page = fetchStatus(Address);
@@ -166,14 +175,8 @@
               << C.at("requests_in_progress") << ", not run "
               << C.at("refused_not_run") << ", outcome unknown "
               << C.at("outcome_unknown") << "\n";
-    for (const Json &U : Page->at("upstreams")) {
-      bool Draining =
-          !U.at("declared").get<bool>() || U.at("leaving").get<bool>();
-      if (Draining || U.at("failures").get<int>() > 0)
-        std::cout << "  " << U.at("name").get<std::string>()
-                  << (Draining ? ": draining" : ": failing") << ", own flows "
-                  << U.at("own_flows") << "\n";
-    }
+    for (const Json &U : Page->at("upstreams"))
+      printUpstream(U);
   }
   return AllAnswered ? ExitDone : ExitFoundWrong;
 }
@@ -200,6 +203,16 @@
   return Left.empty() ? ExitDone : ExitFoundWrong;
 }
 
+/// The status addresses of the balancers: those given, or all of --config.
+std::vector<std::string> addresses(const std::vector<std::string> &Given,
+                                   const cxxopts::ParseResult &Arguments) {
+  if (!Given.empty())
+    return Given;
+  if (Arguments.count("config") == 0)
+    throw UsageError("needs the status ADDRESS of each balancer, or --config");
+  return loadConfig(Arguments["config"].as<std::string>(), parseCtlSettings);
+}
+
 int run(int Count, char **Values) {
   cxxopts::Options Options(
       "thymewall-ctl", "Checks declarations and asks balancers.\n"
@@ -213,6 +226,8 @@
       "is", "version to wait for",
       cxxopts::value<Version>()->default_value("1"))(
       "timeout", "seconds to wait", cxxopts::value<int>()->default_value("10"))(
+      "config", "settings in JSON: {\"balancers\": [ADDRESS, ...]}",
+      cxxopts::value<std::string>())(
       "words", "", cxxopts::value<std::vector<std::string>>());
   Options.parse_positional("words");
   Options.positional_help("COMMAND [ARGUMENT...]");
@@ -234,9 +249,9 @@
   if (Command == "diff")
     return diff(Words, When);
   if (Command == "status")
-    return status(Words);
+    return status(addresses(Words, Arguments));
   if (Command == "wait")
-    return waitFor(Words, Arguments["is"].as<Version>(),
+    return waitFor(addresses(Words, Arguments), Arguments["is"].as<Version>(),
                    Arguments["timeout"].as<int>());
   throw UsageError("\"" + Command + "\" is not a command; see --help");
 }
--- a/src/status-server.cc
+++ b/src/status-server.cc
@@ -65,6 +65,7 @@
                          {"reported_flows", U.ReportedFlows_},
                          {"declared", U.Declared_},
                          {"leaving", U.Leaving_},
+                         {"ejected", U.EjectedUntil_ > R.Status_.Now_},
                          {"failures", U.Failures_}});
   Json Numbers = Json::object();
   for (const Number &N : numbers(R))
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -63,6 +63,16 @@
   CHECK(firstKey("color", 1) == "color");
 }
 
+TEST_CASE("the operators' settings name the balancers") {
+  auto First = [](const char *Text) {
+    Problems Found = faultsOf(Text, parseCtlSettings);
+    return Found.empty() ? "" : Found.front().Key_;
+  };
+  CHECK(First(R"({"balancers": ["127.0.0.1:7300"]})").empty());
+  CHECK(First(R"({"balancers": ["127.0.0.1:7300", "x"]})") == "balancers[1]");
+  CHECK(First(R"({"balancer": []})") == "balancers");
+}
+
 TEST_CASE("each bad host list is refused with its key named") {
   auto First = [](const std::string &Host) {
     Problems Found =
--- a/test/standin/fabric.cc
+++ b/test/standin/fabric.cc
@@ -1,7 +1,7 @@
 // Stand-in for the network fabric: hands each datagram of a caller to any
 // balancer, and may lose, repeat or delay it. Replies go back through the same
 // socket, so balancers see one address a caller.
-#include "program.h"
+#include "standin-options.h"
 #include "udp-socket.h"
 
 #include <asio/steady_timer.hpp>
@@ -124,7 +124,7 @@
       "delay", "share delayed by 20 ms",
       cxxopts::value<double>()->default_value("0"))(
       "seed", "", cxxopts::value<unsigned>()->default_value("1"));
-  auto Arguments = parseArguments(Options, Count, Values);
+  auto Arguments = parseStandin(Options, Count, Values);
   Faults F;
   F.Loss_ = Arguments["loss"].as<double>();
   F.Repeat_ = Arguments["repeat"].as<double>();
--- a/test/standin/platform.cc
+++ b/test/standin/platform.cc
@@ -1,6 +1,6 @@
 // Stand-in for the users' platform: serves two documents from a folder, to be
 // read and watched (docs/PROTOCOL.md, "Platform").
-#include "program.h"
+#include "standin-options.h"
 
 #include <condition_variable>
 #include <csignal>
@@ -76,7 +76,7 @@
   Options.add_options()("listen", "IP:PORT", cxxopts::value<std::string>())(
       "folder", "holds declaration.json and hosts.json",
       cxxopts::value<std::string>());
-  auto Arguments = parseArguments(Options, Count, Values);
+  auto Arguments = parseStandin(Options, Count, Values);
   std::string Folder = Arguments["folder"].as<std::string>();
   Document Declaration(Folder + "/declaration.json");
   Document Hosts(Folder + "/hosts.json");
--- a/test/standin/upstream.cc
+++ b/test/standin/upstream.cc
@@ -1,7 +1,7 @@
 // Stand-in for an upstream: holds flows, runs requests in its slots, refuses
 // beyond its queue, and records what it saw (docs/PROTOCOL.md, "Upstreams").
 #include "app-payload.h"
-#include "program.h"
+#include "standin-options.h"
 #include "udp-socket.h"
 
 #include <asio/signal_set.hpp>
@@ -329,7 +329,7 @@
       cxxopts::value<std::int64_t>()->default_value("0"))(
       "remembers", "remember requests that may not be repeated")(
       "record", "file to write at the end", cxxopts::value<std::string>());
-  auto Given = parseArguments(Arguments, Count, Values);
+  auto Given = parseStandin(Arguments, Count, Values);
   Options O;
   O.Name_ = Given["name"].as<std::string>();
   O.At_ = parseEndpoint(Given["listen"].as<std::string>());
--- a/test/upstream-table-test.cc
+++ b/test/upstream-table-test.cc
@@ -44,10 +44,8 @@
   Table.declare(declare(14), at(0));
   Eligible Among = eligible(14);
   for (std::size_t I = 0; I < Flows; ++I) {
-    Choice C{{ServiceId{1}, FlowId{I * 7919 + 1}},
-             Among,
-             Table.rows(),
-             at(10'000)};
+    Choice C{
+        {ServiceId{1}, FlowId{I * 7919 + 1}}, Among, Table.rows(), at(10'000)};
     ++Table[Among.Indexes_[Choose(C)]].OwnFlows_;
   }
   std::uint32_t Most = 0;
