--- a/src/balancer-caller.cc
+++ b/src/balancer-caller.cc
@@ -12,8 +12,6 @@
 using namespace std::chrono_literals;
 
 constexpr Micros OpenTryFor = 300ms;
-/// Callers' clocks may be ahead of ours by this much.
-constexpr Micros ClockSlack = 1s;
 constexpr double MaxRetryTokens = 20;
 constexpr std::uint8_t MaxOpenTries = 3;
 
--- a/src/balancer-home.cc
+++ b/src/balancer-home.cc
@@ -16,7 +16,6 @@
 /// A closed flow's numbers are kept until no copy of a request can come any
 /// more: the longest deadline (60 s), clock slack and some.
 constexpr std::uint32_t ClosedFlowTicks = 70;
-constexpr Micros ClockSlack = 1s;
 /// A pass is repeated after 20, 40 and 80 ms and given up 80 ms later: beyond
 /// any round trip in a region, well within a request's deadline.
 constexpr std::uint32_t PassTryTicks[] = {4, 8, 16, 16};
--- a/src/balancer-impl.h
+++ b/src/balancer-impl.h
@@ -16,6 +16,9 @@
 
 namespace thymewall {
 
+/// Callers' clocks may be ahead of ours by this much.
+constexpr Micros ClockSlack = std::chrono::seconds(1);
+
 /// A live peer, as its heartbeats tell.
 struct Peer {
   BalancerId Id_{};
--- a/src/balancer-succession.cc
+++ b/src/balancer-succession.cc
@@ -7,16 +7,6 @@
 using detail::has;
 using detail::Mechanism;
 
-namespace {
-
-using namespace std::chrono_literals;
-
-constexpr Micros ClockSlack = 1s;
-/// The statement reaches the peers before the process may end.
-constexpr Micros ShortestLinger = 500ms;
-
-} // namespace
-
 void Balancer::Impl::on(const StopAsked &) {
   if (Stopping_)
     return;
--- a/src/control-plane.cc
+++ b/src/control-plane.cc
@@ -105,6 +105,7 @@
   std::array<Document, DocumentKinds> Documents_;
   std::map<Handle, Link, HandleLess> Links_;
   std::set<std::string> Connecting_;
+  std::vector<Host> Chosen_;                   ///< To link to.
   std::map<std::string, std::string> HallOf_;  ///< By balancer name.
   std::map<BalancerId, SteadyTime> WatchedAt_; ///< In our data hall.
   std::vector<Succession> Successions_;
@@ -302,8 +303,7 @@
         connect(formatEndpoint(Seed));
     return;
   }
-  for (const Host &H : choosePeers(*Hosts_, Settings_.Name_,
-                                   Settings_.DataHall_, Settings_.PeerLinks_))
+  for (const Host &H : Chosen_)
     if (!linkedTo(H.Name_, formatEndpoint(H.Control_)))
       connect(formatEndpoint(H.Control_));
 }
@@ -351,6 +351,8 @@
 
 void ControlPlane::Impl::setHosts(HostListPtr Hosts) {
   Hosts_ = std::move(Hosts);
+  Chosen_ = choosePeers(*Hosts_, Settings_.Name_, Settings_.DataHall_,
+                        Settings_.PeerLinks_);
   HallOf_.clear();
   for (const Host &H : Hosts_->Hosts_)
     HallOf_[H.Name_] = H.DataHall_;
