--- a/include/thymewall/message.h
+++ b/include/thymewall/message.h
@@ -72,6 +72,9 @@
 };
 bool operator==(const Message &A, const Message &B);
 
+/// A message of another kind about the same flow and request, and nothing else.
+Message about(const Message &M, Kind K);
+
 /// Writes \p M into \p Buffer and returns the length, or 0 when it does not
 /// fit. Allocates nothing.
 std::size_t encode(const Message &M, std::uint8_t *Buffer, std::size_t Size);
--- a/src/balancer-caller.cc
+++ b/src/balancer-caller.cc
@@ -299,11 +299,7 @@
   bool May = Bound == Answer::NotRun || !has(Mechanism::TruthfulNotRun);
   bool NotRun = May && Row.Answer_ == Answer::NotRun;
   ++(NotRun ? Counters_.NotRun_ : Counters_.OutcomeUnknown_);
-  Message Out;
-  Out.Kind_ = Kind::Refused;
-  Out.Service_ = M.Service_;
-  Out.Flow_ = M.Flow_;
-  Out.Request_ = M.Request_;
+  Message Out = about(M, Kind::Refused);
   Out.Flags_ = NotRun ? FlagNotRun : FlagOutcomeUnknown;
   Out.Reason_ = Why;
   auto Spread =
--- a/src/balancer-home.cc
+++ b/src/balancer-home.cc
@@ -221,10 +221,7 @@
   if (!Row)
     return;
   SealedRoute Sealed = routeOf(*Row, R.UpstreamIncarnation_);
-  Message Out;
-  Out.Kind_ = Kind::Moved;
-  Out.Service_ = M.Service_;
-  Out.Flow_ = M.Flow_;
+  Message Out = about(M, Kind::Moved);
   Out.Route_ = Sealed.bytes();
   (*Sink_)(ToCaller{M.Caller_, Out});
 }
@@ -270,11 +267,7 @@
 
 void Balancer::Impl::confirm(const Message &M, const Endpoint &To,
                              PeerKind Kind) {
-  Message Receipt;
-  Receipt.Service_ = M.Service_;
-  Receipt.Flow_ = M.Flow_;
-  Receipt.Request_ = M.Request_;
-  toPeer(To, Kind, Receipt);
+  toPeer(To, Kind, about(M, M.Kind_));
 }
 
 /// A stopping home had this number before: either it ran the request, or it
--- a/src/balancer-upstream.cc
+++ b/src/balancer-upstream.cc
@@ -87,10 +87,7 @@
   finish(*Row);
   ++Counters_.Opened_;
   SealedRoute Sealed = routeOf(*Flow, M.Incarnation_);
-  Message Out;
-  Out.Kind_ = Kind::Opened;
-  Out.Service_ = M.Service_;
-  Out.Flow_ = M.Flow_;
+  Message Out = about(M, Kind::Opened);
   Out.Route_ = Sealed.bytes();
   (*Sink_)(ToCaller{Caller, Out});
 }
@@ -167,11 +164,7 @@
     finish(*Row);
   }
   ++(NotRun ? Counters_.NotRun_ : Counters_.OutcomeUnknown_);
-  Message Out;
-  Out.Kind_ = Kind::Reset;
-  Out.Service_ = M.Service_;
-  Out.Flow_ = M.Flow_;
-  Out.Request_ = M.Request_;
+  Message Out = about(M, Kind::Reset);
   Out.Flags_ = NotRun ? FlagNotRun : FlagOutcomeUnknown;
   Out.Reason_ = ErrorKind::FlowUnknown;
   (*Sink_)(ToCaller{M.Caller_, Out});
--- a/src/message.cc
+++ b/src/message.cc
@@ -21,6 +21,15 @@
   return Fields(A) == Fields(B);
 }
 
+Message about(const Message &M, Kind K) {
+  Message Result;
+  Result.Kind_ = K;
+  Result.Service_ = M.Service_;
+  Result.Flow_ = M.Flow_;
+  Result.Request_ = M.Request_;
+  return Result;
+}
+
 namespace {
 
 constexpr std::size_t FieldCount = 18;
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -137,6 +137,10 @@
     std::uint64_t Turn_ = 0; ///< Cancels timers of earlier steps.
   };
 
+  /// Wall and monotonic time at the start of a run.
+  static constexpr Micros Epoch = seconds(1'000'000);
+
+  static Wire wireOf(const Message &M);
   void at(Time When, Work Do);
   double draw() { return std::generate_canonical<double, 32>(Random_); }
   Moment moment(const Node &N) const;
