--- a/src/balancer-home.cc
+++ b/src/balancer-home.cc
@@ -169,9 +169,8 @@
 void Balancer::Impl::expirePasses() {
   std::uint32_t Tick = requestTick(Now_.Mono_);
   Passes_.expire(Tick, [this, Tick](PassRow &Row) {
-    if (Row.Tries_ == MaxPassTries) {
+    if (Row.Tries_ == MaxPassTries)
       return givePassUp(Row, ErrorKind::HomeUnreachable);
-    }
     Passes_.rearm(Row, Tick + PassTryTicks[Row.Tries_]);
     ++Row.Tries_;
     toPeer(Row.Home_, Row.Kind_, Row.message());
--- a/test/standin/standin-options.h
+++ b/test/standin/standin-options.h
@@ -51,6 +51,7 @@
     }
   }
   std::vector<const char *> All;
+  All.reserve(Texts.size());
   for (const std::string &Text : Texts)
     All.push_back(Text.c_str());
   return Options.parse(static_cast<int>(All.size()), All.data());
