--- a/src/balancer-process.cc
+++ b/src/balancer-process.cc
@@ -81,6 +81,12 @@
                 std::size_t Size);
   void fromCaller(ServiceId Service, const Endpoint &From,
                   const std::uint8_t *Data, std::size_t Size);
+  /// Counts what a decoder refused.
+  bool takes(ErrorKind Decoded) {
+    if (Decoded != ErrorKind::None)
+      ++Undecoded_[static_cast<std::size_t>(Decoded)];
+    return Decoded == ErrorKind::None;
+  }
   void give(const Event &What) { Core_.handle(now(), What, Sink_); }
 
   // Actions of the core, one overload each.
@@ -120,7 +126,8 @@
   asio::signal_set Signals_;
   DeclarationPtr Declaration_;
   HostListPtr Hosts_;
-  std::uint64_t Undecoded_ = 0;
+  /// Datagrams that never reached the core, by kind.
+  decltype(Counters::Errors_) Undecoded_{};
   std::uint64_t Asked_ = 0; ///< By the last `RereadSources`.
   StatusServer Status_;
 };
@@ -168,28 +175,24 @@
                                          const std::uint8_t *Data,
                                          std::size_t Size) {
   FromUpstream E{From, {}};
-  if (decode(Data, Size, E.Message_) == ErrorKind::None)
-    return give(E);
-  ++Undecoded_;
+  if (takes(decode(Data, Size, E.Message_)))
+    give(E);
 }
 
 void BalancerProcess::Impl::fromPeer(const Endpoint &From,
                                      const std::uint8_t *Data,
                                      std::size_t Size) {
   FromPeer E{From, {}};
-  if (decodePeer(Data, Size, Settings_.Keys_, E.Datagram_) == ErrorKind::None)
-    return give(E);
-  ++Undecoded_;
+  if (takes(decodePeer(Data, Size, Settings_.Keys_, E.Datagram_)))
+    give(E);
 }
 
 void BalancerProcess::Impl::fromCaller(ServiceId Service, const Endpoint &From,
                                        const std::uint8_t *Data,
                                        std::size_t Size) {
   FromCaller E{From, {}, Size};
-  if (decode(Data, Size, E.Message_) != ErrorKind::None) {
-    ++Undecoded_;
+  if (!takes(decode(Data, Size, E.Message_)))
     return;
-  }
   E.Message_.Service_ = Service;
   give(E);
 }
@@ -370,6 +373,8 @@
   R.Name_ = Settings_.Name_;
   R.Status_ = Core_.status();
   R.Counters_ = Core_.counters();
+  for (std::size_t I = 0; I < Undecoded_.size(); ++I)
+    R.Counters_.Errors_[I] += Undecoded_[I];
   R.Delays_ = &Delays_;
   R.Declaration_ = Declaration_;
   R.Numbers_ = {{"control_bytes_sent", Control.BytesSent_},
@@ -377,8 +382,7 @@
                 {"control_messages_sent", Control.MessagesSent_},
                 {"control_messages_refused", Control.MessagesRefused_},
                 {"control_links", Control.Links_},
-                {"platform_calls", Platform_.calls()},
-                {"datagrams_undecoded", Undecoded_}};
+                {"platform_calls", Platform_.calls()}};
   return R;
 }
 
