A used number sent again as repeatable no longer upsets an upstream's count

Cause: a row that is kept for 150 ms to swallow copies has left the in-flight count already; a caller that sent its number again as repeatable made finish() count it down a second time, to 4,294,967,295, so the upstream was overloaded for good at that balancer. Ruled out: expiry of such rows (it leaves the count alone). Change: finish() looks at the row's state, as the one place that ends rows. Figures: the new test before: in flight; after: 0.

--- a/src/balancer-upstream.cc
+++ b/src/balancer-upstream.cc
@@ -51,7 +51,8 @@
 }
 
 void Balancer::Impl::finish(RequestRow &Row) {
-  --Upstreams_[Row.Upstream_].InFlight_;
+  if (!Row.Done_) // else it left the count when it was settled
+    --Upstreams_[Row.Upstream_].InFlight_;
   Requests_.erase(Row);
 }
 
--- a/test/balancer-test.cc
+++ b/test/balancer-test.cc
@@ -260,6 +260,16 @@
   CHECK(!notRun(B));
 }
 
+TEST_CASE("a used number sent again as repeatable upsets no count") {
+  Bench B(42, declaration(1, 1, R"("in_flight_per_slot": 2,)"));
+  B.openFlow();
+  B.fromCaller(B.request(1));
+  B.reply(Kind::Answer);
+  B.fromCaller(B.request(1, true)); // while copies are still swallowed
+  B.reply(Kind::Answer);
+  CHECK(B.Core_.status().Upstreams_[0].InFlight_ == 0U);
+}
+
 TEST_CASE("beyond its bound an upstream gets no more, and callers are told") {
   Bench B(42, declaration(1, 1, R"("in_flight_per_slot": 2,)"));
   B.openFlow();
