One mask of an answer's parts for balancers and callers

Cause: the same expression, with its case of 64 parts, stood in the balancer and in the load tool. Change: allParts() beside MaxParts.

--- a/include/thymewall/message.h
+++ b/include/thymewall/message.h
@@ -26,6 +26,15 @@
   Last = Moved
 };
 
+constexpr std::uint16_t MaxParts = 64;
+
+/// One bit for each of an answer's parts; 0 parts stand for one.
+constexpr std::uint64_t allParts(std::uint16_t Parts) {
+  if (Parts >= MaxParts)
+    return ~std::uint64_t{0};
+  return (std::uint64_t{1} << (Parts == 0 ? 1 : Parts)) - 1;
+}
+
 /// Bits of `Message::Flags_`.
 enum Flag : std::uint8_t {
   FlagRepeatable = 1,    ///< The request may be run more than once.
@@ -36,7 +45,6 @@
 constexpr std::size_t MaxDatagram = 1400;
 constexpr std::size_t MaxHeader = 256;
 constexpr std::size_t MaxRoute = 96;
-constexpr std::uint16_t MaxParts = 64;
 constexpr std::uint64_t ProtocolVersion = 1;
 
 /// Borrowed bytes; the owner outlives the call that is given them.
--- a/src/balancer-upstream.cc
+++ b/src/balancer-upstream.cc
@@ -118,9 +118,7 @@
     Sealed = routeOf(*Flow, M.Incarnation_);
   Out.Route_ = Sealed.bytes();
   (*Sink_)(ToCaller{Row->Caller_, Out});
-  std::uint64_t All =
-      Parts == MaxParts ? ~std::uint64_t{0} : (std::uint64_t{1} << Parts) - 1;
-  if (Row->PartsSeen_ != All)
+  if (Row->PartsSeen_ != allParts(Parts))
     return;
   ++Counters_.Answered_;
   Upstreams_.succeeded(Upstream);
--- a/src/load-run.cc
+++ b/src/load-run.cc
@@ -356,10 +356,7 @@
   std::uint64_t &Seen = P.PartsSeen_[M.Attempt_];
   Seen |= std::uint64_t{1} << M.Part_;
   keep(F.Route_, M.Route_);
-  std::uint16_t Parts = std::max<std::uint16_t>(M.Parts_, 1);
-  std::uint64_t All =
-      Parts == MaxParts ? ~std::uint64_t{0} : (std::uint64_t{1} << Parts) - 1;
-  if (Seen != All)
+  if (Seen != allParts(M.Parts_))
     return;
   ++Totals_.Answered_;
   if (P.Once_)
