--- a/include/thymewall/core.h
+++ b/include/thymewall/core.h
@@ -116,6 +116,12 @@
   RepeatedPart,
   UnknownSender,
   BadTag,
+  NotFromCaller,
+  UnknownAddress,
+  TableNotFresh,
+  UnknownCookie,
+  ForgedCookie,
+  NoneLeft,
   Count
 };
 
@@ -123,7 +129,8 @@
 enum class Answer : std::uint8_t {
   Silence,       ///< Dropped and counted.
   NotRun,        ///< No upstream has run it, and none will.
-  OutcomeUnknown ///< It may have been run; a repeat is the caller's decision.
+  OutcomeUnknown, ///< It may have been run; a repeat is the caller's decision.
+  Reset ///< The caller's transport is told at once that the flow is over.
 };
 
 /// One row of the table from kind to answer. `NotRun` is an upper bound: the
--- /dev/null
+++ b/include/thymewall/packet-balancer.h
@@ -0,0 +1,162 @@
+/// \file
+/// The decisions of a packet balancer: a caller's packet and the time go in, and
+/// what to do with the packet comes out. Answers do not pass here: upstreams
+/// send them to the caller directly. No socket, thread, clock or randomness.
+///
+///   PacketBalancer B = PacketBalancerBuilder().build();
+///   B.setRouting(Now, Table);
+///   B.applyUpstreams(Now, Changes);
+///   Verdict V = B.steer(Now, Packet);
+///   B.tick(Now); // about every `TickEvery`
+#ifndef THYMEWALL_PACKET_BALANCER_H
+#define THYMEWALL_PACKET_BALANCER_H
+
+#include "thymewall/packet.h"
+#include "thymewall/routing.h"
+#include "thymewall/upstream-list.h"
+#include "thymewall/upstream-table.h"
+
+#include <memory>
+#include <variant>
+
+namespace thymewall {
+
+/// Send the packet on with this cookie in it.
+struct Forward {
+  Endpoint To_;
+  Incarnation Upstream_{}; ///< Only this start of the upstream may take it.
+  Cookie Cookie_ = 0;
+};
+/// Tell the caller that its flow is over.
+struct ResetFlow {
+  Endpoint Caller_;
+  Endpoint Service_;
+  std::uint32_t Sequence_ = 0; ///< One that the caller accepts.
+  ErrorKind Why_ = ErrorKind::None;
+};
+struct Dropped {
+  ErrorKind Why_ = ErrorKind::None;
+};
+using Verdict = std::variant<Forward, ResetFlow, Dropped>;
+
+/// A decision about a flow, with what decided it; for logs.
+struct Decision {
+  enum class Kind : std::uint8_t {
+    Opened,    ///< First opening packet, sent to an upstream.
+    OpenMoved, ///< A copy of the opening packet, sent to another one.
+    Refused    ///< Reset or dropped; `Why_` tells.
+  };
+  Kind Kind_ = Kind::Opened;
+  Endpoint Caller_;
+  Endpoint Service_;
+  Incarnation Upstream_{};
+  ErrorKind Why_ = ErrorKind::None;
+  std::uint32_t Candidates_ = 0; ///< Upstreams that could take new flows.
+  Version RoutingVersion_ = 0;
+  Micros KnowledgeAge_{}; ///< Since what is known was last confirmed.
+};
+using DecisionHook = std::function<void(const Decision &)>;
+
+/// A change in what is believed of an upstream; for logs.
+struct Belief {
+  enum class Kind : std::uint8_t { Listed, Draining, Lapsed, Gone, Ejected };
+  Kind Kind_ = Kind::Listed;
+  Incarnation Upstream_{};
+  Endpoint At_;
+  Revision Revision_ = 0;
+};
+using BeliefHook = std::function<void(const Belief &)>;
+
+/// Totals since the start of the process.
+struct PacketCounters {
+  std::array<std::uint64_t, static_cast<std::size_t>(ErrorKind::Count)>
+      Errors_{};
+  std::uint64_t Packets_ = 0;
+  std::uint64_t Opened_ = 0;
+  std::uint64_t OpenMoved_ = 0;
+  std::uint64_t Resets_ = 0;
+  std::uint64_t LateWakes_ = 0;
+};
+
+/// An upstream as operators see it.
+struct SteeredUpstream {
+  Incarnation Incarnation_{};
+  std::string DataHall_;
+  ServiceId Service_{};
+  UpstreamRow Row_;
+  /// Why it takes no new flow now; empty when it takes them.
+  std::string_view NotChosen_;
+};
+
+struct PacketStatus {
+  Version RoutingVersion_ = 0;
+  MonoTime KnownAsOf_{};
+  std::size_t Flows_ = 0;
+  std::size_t MemoryBytes_ = 0;
+  std::vector<SteeredUpstream> Upstreams_;
+};
+
+/// Settings of a packet balancer; the defaults suit an entry host of today.
+struct PacketBalancerOptions {
+  Chooser Chooser_ = chooseTwoInProgress;
+  DecisionHook OnDecision_;
+  BeliefHook OnBelief_;
+  /// An unknown address is reset only if all that was published this long ago
+  /// is known; from the time within which a routing table must be in force.
+  Micros ResetWhenKnown_ = std::chrono::milliseconds(2500);
+  /// A flow older than this may be forgotten, and so may its upstream.
+  Micros FlowLimit_ = std::chrono::seconds(60);
+  std::uint32_t FlowBound_ = 200'000;
+};
+
+class PacketBalancer {
+public:
+  static constexpr Micros TickEvery = std::chrono::milliseconds(250);
+  /// A tick this late means that the process has not run meanwhile.
+  static constexpr Micros LateAfter = std::chrono::milliseconds(1000);
+  /// How long an upstream may be missing after the configuration service was
+  /// away before it is gone: those that live are back within 2 s.
+  static constexpr Micros LapseLimit = std::chrono::milliseconds(2000);
+
+  explicit PacketBalancer(PacketBalancerOptions Options);
+  PacketBalancer(PacketBalancer &&) noexcept;
+  PacketBalancer &operator=(PacketBalancer &&) noexcept;
+  ~PacketBalancer();
+
+  Verdict steer(MonoTime Now, const Packet &P);
+  /// Puts a routing table in force; an older one is ignored.
+  void setRouting(MonoTime Now, RoutingTablePtr Table);
+  /// \p MayReturn: the configuration service was away, so upstreams that are
+  /// missing count as gone only after `LapseLimit`.
+  void applyUpstreams(MonoTime Now, const std::vector<UpstreamChange> &Changes,
+                      bool MayReturn = false);
+  /// All that was published up to \p AsOf is known.
+  void confirm(MonoTime AsOf);
+  void tick(MonoTime Now);
+
+  /// True once a routing table and a list of upstreams are in hand.
+  bool ready() const;
+  const PacketCounters &counters() const;
+  PacketStatus status(MonoTime Now) const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+class PacketBalancerBuilder {
+public:
+  PacketBalancerBuilder &chooser(Chooser Value);
+  PacketBalancerBuilder &onDecision(DecisionHook Value);
+  PacketBalancerBuilder &onBelief(BeliefHook Value);
+  PacketBalancerBuilder &resetWhenKnown(Micros Value);
+  PacketBalancerBuilder &flowLimit(Micros Value);
+  PacketBalancer build() const;
+
+private:
+  PacketBalancerOptions Options_;
+};
+
+} // namespace thymewall
+
+#endif
--- /dev/null
+++ b/include/thymewall/upstream-list.h
@@ -0,0 +1,90 @@
+/// \file
+/// The published list of upstreams as a log of changes, ordered by the revision
+/// that the configuration service gives to each change.
+#ifndef THYMEWALL_UPSTREAM_LIST_H
+#define THYMEWALL_UPSTREAM_LIST_H
+
+#include "thymewall/core.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace thymewall {
+
+/// Counts the changes of everything that is published; larger is newer.
+using Revision = std::uint64_t;
+
+/// An upstream as it is published. `Incarnation_` is new with every start.
+struct UpstreamEntry {
+  Incarnation Incarnation_{};
+  ServiceId Service_{};
+  Endpoint At_;
+  std::string DataHall_;
+  std::uint32_t Slots_ = 1;
+  bool Draining_ = false;
+  MonoTime WarmAt_{}; ///< End of its slow start.
+};
+inline bool operator==(const UpstreamEntry &A, const UpstreamEntry &B) {
+  auto Fields = [](const UpstreamEntry &E) {
+    return std::tie(E.Incarnation_, E.Service_, E.At_, E.DataHall_, E.Slots_,
+                    E.Draining_, E.WarmAt_);
+  };
+  return Fields(A) == Fields(B);
+}
+
+/// One upstream's last change; without an entry it is gone.
+struct UpstreamChange {
+  Incarnation Incarnation_{};
+  Revision At_ = 0;
+  std::optional<UpstreamEntry> Entry_;
+};
+
+/// Changes that are complete from just after `After_` through `Through_`.
+/// A whole list has `Whole_`: upstreams that it lacks are gone.
+struct UpstreamBatch {
+  bool Whole_ = false;
+  Revision After_ = 0;
+  Revision Through_ = 0;
+  std::vector<UpstreamChange> Changes_;
+};
+
+/// The upstreams, complete through a revision.
+class UpstreamList {
+public:
+  /// How many ends of upstreams are kept, so that a peer which is behind can be
+  /// told of changes alone: a day of today's deployments has about 100.
+  static constexpr std::size_t KeptEnds = 512;
+
+  /// Applies what is newer than `through()` and appends to \p Applied what has
+  /// changed here. False for a batch that starts after `through()`: changes in
+  /// between are missing and nothing was applied.
+  bool apply(const UpstreamBatch &Batch, std::vector<UpstreamChange> &Applied);
+
+  /// What is needed by a list that is complete through \p After; the whole list
+  /// when the ends since then are no longer known.
+  UpstreamBatch since(Revision After) const;
+
+  Revision through() const { return Through_; }
+  std::size_t size() const { return Entries_.size(); }
+
+private:
+  struct Row {
+    Revision At_ = 0;
+    UpstreamEntry Entry_;
+  };
+  void applyOne(const UpstreamChange &Change,
+                std::vector<UpstreamChange> &Applied);
+  void applyAbsences(const UpstreamBatch &Batch,
+                     std::vector<UpstreamChange> &Applied);
+  void keepEnd(Incarnation Which, Revision At);
+
+  std::map<Incarnation, Row> Entries_;
+  std::map<Revision, Incarnation> Ends_;
+  Revision EndsKnownAfter_ = 0; ///< All ends after it are in `Ends_`.
+  Revision Through_ = 0;
+};
+
+} // namespace thymewall
+
+#endif
--- a/include/thymewall/upstream-table.h
+++ b/include/thymewall/upstream-table.h
@@ -6,14 +6,14 @@
 
 #include "thymewall/declaration.h"
 #include "thymewall/flow-table.h"
+#include "thymewall/routing.h"
 
 #include <unordered_map>
 
 namespace thymewall {
 
-/// One upstream. Rows are never removed while the process lives, so an index
-/// stays valid; an upstream that is declared no longer only stops being
-/// eligible.
+/// One upstream. An index stays valid until its row is released; an upstream
+/// that is declared no longer only stops being eligible.
 struct UpstreamRow {
   UpstreamId Id_{};
   Endpoint At_;
@@ -56,6 +56,9 @@
 std::size_t choosePlainHash(const Choice &C);
 /// The less loaded of two candidates, by this balancer's own flows per slot.
 std::size_t chooseTwoOwn(const Choice &C);
+/// The less loaded of two candidates, by the requests in progress that this
+/// balancer sees, then by its own flows.
+std::size_t chooseTwoInProgress(const Choice &C);
 /// The less loaded of two candidates, by the upstreams' own reports.
 std::size_t chooseTwoReported(const Choice &C);
 
@@ -71,6 +74,13 @@
   static constexpr std::uint32_t FailuresToEject = 3;
 
   void declare(const Declaration &D, MonoTime Now);
+  /// Adds an upstream or changes the one with this identifier; gives its index.
+  std::uint32_t declareOne(UpstreamId Id, const Endpoint &At,
+                           std::uint32_t Slots, MonoTime WarmAt);
+  /// The upstream takes no new flows any more; its row stays.
+  void withdraw(std::uint32_t Index);
+  /// Gives the row of a withdrawn upstream back; its index may be used again.
+  void release(std::uint32_t Index);
   void setLeaving(UpstreamId Id, bool Leaving);
   /// Notes the incarnation that a datagram of an upstream or a route showed.
   void seen(std::uint32_t Index, Incarnation Seen, MonoTime Now);
@@ -99,10 +109,10 @@
   const std::vector<UpstreamRow> &rows() const { return Rows_; }
 
 private:
-  struct EndpointHash {
-    std::size_t operator()(const Endpoint &At) const;
-  };
+  std::uint32_t addRow(UpstreamId Id);
+
   std::vector<UpstreamRow> Rows_;
+  std::vector<std::uint32_t> Released_;
   std::unordered_map<std::uint32_t, std::uint32_t> ById_;
   std::unordered_map<Endpoint, std::uint32_t, EndpointHash> ByEndpoint_;
   std::uint64_t Generation_ = 1;
--- a/src/core.cc
+++ b/src/core.cc
@@ -47,6 +47,12 @@
     {ErrorKind::RepeatedPart, "repeated_part", Answer::Silence, Now},
     {ErrorKind::UnknownSender, "unknown_sender", Answer::Silence, Now},
     {ErrorKind::BadTag, "bad_tag", Answer::Silence, Now},
+    {ErrorKind::NotFromCaller, "not_from_caller", Answer::Silence, Now},
+    {ErrorKind::UnknownAddress, "unknown_address", Answer::Reset, Now},
+    {ErrorKind::TableNotFresh, "table_not_fresh", Answer::Silence, Now},
+    {ErrorKind::UnknownCookie, "unknown_cookie", Answer::Silence, Now},
+    {ErrorKind::ForgedCookie, "forged_cookie", Answer::Silence, Now},
+    {ErrorKind::NoneLeft, "none_left", Answer::Silence, Now},
 };
 static_assert(sizeof Rows / sizeof Rows[0] ==
                   static_cast<std::size_t>(ErrorKind::Count),
--- /dev/null
+++ b/src/routing.cc
@@ -0,0 +1,50 @@
+#include "thymewall/routing.h"
+
+#include "thymewall/packet.h"
+
+#include <xxhash.h>
+
+namespace thymewall {
+
+namespace {
+
+/// Keeps the draw of a service apart from other uses of the flow's hash.
+constexpr std::uint64_t ServiceDraw = 0x73657276;
+
+} // namespace
+
+std::size_t EndpointHash::operator()(const Endpoint &At) const {
+  return XXH64(At.Address_.data(), At.Address_.size(), At.Port_);
+}
+
+FlowId flowOf(const Packet &P) {
+  EndpointHash Hash;
+  return static_cast<FlowId>(hashPair(Hash(P.Caller_), Hash(P.Service_)));
+}
+
+const std::vector<ServiceShare> *RoutingTable::find(const Endpoint &At) const {
+  auto Known = Addresses_.find(At);
+  return Known == Addresses_.end() ? nullptr : &Known->second;
+}
+
+std::string RoutingTable::nameOf(ServiceId Id) const {
+  auto Known = ServiceNames_.find(raw(Id));
+  return Known == ServiceNames_.end() ? std::to_string(raw(Id)) : Known->second;
+}
+
+ServiceId drawService(const std::vector<ServiceShare> &Shares, FlowId Flow) {
+  if (Shares.size() == 1)
+    return Shares.front().Service_;
+  std::uint64_t Sum = 0;
+  for (const ServiceShare &S : Shares)
+    Sum += S.Weight_;
+  std::uint64_t Draw = hashPair(raw(Flow), ServiceDraw) % Sum;
+  for (const ServiceShare &S : Shares) {
+    if (Draw < S.Weight_)
+      return S.Service_;
+    Draw -= S.Weight_;
+  }
+  return Shares.back().Service_;
+}
+
+} // namespace thymewall
--- /dev/null
+++ b/src/upstream-list.cc
@@ -0,0 +1,86 @@
+#include "thymewall/upstream-list.h"
+
+#include <algorithm>
+#include <set>
+
+namespace thymewall {
+
+bool UpstreamList::apply(const UpstreamBatch &Batch,
+                         std::vector<UpstreamChange> &Applied) {
+  if (!Batch.Whole_ && Batch.After_ > Through_)
+    return false;
+  if (Batch.Through_ <= Through_ && Through_ != 0)
+    return true;
+  for (const UpstreamChange &Change : Batch.Changes_)
+    if (Change.At_ > Through_)
+      applyOne(Change, Applied);
+  if (Batch.Whole_)
+    applyAbsences(Batch, Applied);
+  Through_ = Batch.Through_;
+  return true;
+}
+
+void UpstreamList::applyOne(const UpstreamChange &Change,
+                            std::vector<UpstreamChange> &Applied) {
+  auto Known = Entries_.find(Change.Incarnation_);
+  bool Newer = Known == Entries_.end() || Known->second.At_ < Change.At_;
+  if (!Newer)
+    return;
+  if (Change.Entry_) {
+    Entries_[Change.Incarnation_] = {Change.At_, *Change.Entry_};
+    Applied.push_back(Change);
+    return;
+  }
+  keepEnd(Change.Incarnation_, Change.At_);
+  if (Known == Entries_.end())
+    return;
+  Entries_.erase(Known);
+  Applied.push_back(Change);
+}
+
+void UpstreamList::applyAbsences(const UpstreamBatch &Batch,
+                                 std::vector<UpstreamChange> &Applied) {
+  std::set<Incarnation> Present;
+  for (const UpstreamChange &Change : Batch.Changes_)
+    if (Change.Entry_)
+      Present.insert(Change.Incarnation_);
+  for (auto Row = Entries_.begin(); Row != Entries_.end();) {
+    bool Absent = Present.count(Row->first) == 0;
+    bool ListedLater = Row->second.At_ > Batch.Through_;
+    if (!Absent || ListedLater) {
+      ++Row;
+      continue;
+    }
+    // When it ended is not known: the list's own revision is late enough.
+    Applied.push_back({Row->first, Batch.Through_, std::nullopt});
+    Row = Entries_.erase(Row);
+  }
+  // Ends between the old and the new revision were not told one by one.
+  Ends_.clear();
+  EndsKnownAfter_ = Batch.Through_;
+}
+
+void UpstreamList::keepEnd(Incarnation Which, Revision At) {
+  Ends_[At] = Which;
+  if (Ends_.size() <= KeptEnds)
+    return;
+  EndsKnownAfter_ = Ends_.begin()->first;
+  Ends_.erase(Ends_.begin());
+}
+
+UpstreamBatch UpstreamList::since(Revision After) const {
+  UpstreamBatch Batch;
+  Batch.Whole_ = After < EndsKnownAfter_ || After == 0;
+  Batch.After_ = Batch.Whole_ ? 0 : After;
+  Batch.Through_ = Through_;
+  for (const auto &[Which, Row] : Entries_)
+    if (Batch.Whole_ || Row.At_ > After)
+      Batch.Changes_.push_back({Which, Row.At_, Row.Entry_});
+  if (Batch.Whole_)
+    return Batch;
+  for (auto End = Ends_.upper_bound(After); End != Ends_.end(); ++End)
+    Batch.Changes_.push_back({End->second, End->first, std::nullopt});
+  return Batch;
+}
+
+} // namespace thymewall
--- a/src/upstream-table.cc
+++ b/src/upstream-table.cc
@@ -3,7 +3,6 @@
 #include "mechanism.h"
 
 #include <algorithm>
-#include <xxhash.h>
 
 namespace thymewall {
 
@@ -29,9 +28,9 @@
   return C.Rows_[C.Eligible_.Indexes_[Index]];
 }
 
-/// The less loaded of two candidates, by a load given as flows.
+/// The less loaded of two candidates, by a load given as a number.
 template <typename Function>
-std::size_t chooseTwo(const Choice &C, Function Flows) {
+std::size_t chooseTwo(const Choice &C, Function Load) {
   auto [First, Second] = candidates(C);
   const UpstreamRow &A = rowOf(C, First);
   const UpstreamRow &B = rowOf(C, Second);
@@ -39,8 +38,8 @@
   bool ColdB = !admitsWhileCold(C, B);
   if (ColdA != ColdB)
     return ColdA ? Second : First;
-  std::uint64_t LoadA = std::uint64_t{Flows(A)} * B.Slots_;
-  std::uint64_t LoadB = std::uint64_t{Flows(B)} * A.Slots_;
+  std::uint64_t LoadA = std::uint64_t{Load(A)} * B.Slots_;
+  std::uint64_t LoadB = std::uint64_t{Load(B)} * A.Slots_;
   return LoadB < LoadA ? Second : First;
 }
 
@@ -80,36 +79,77 @@
   return chooseTwo(C, [](const UpstreamRow &R) { return R.OwnFlows_; });
 }
 
-std::size_t chooseTwoReported(const Choice &C) {
-  return chooseTwo(C, [](const UpstreamRow &R) { return R.ReportedFlows_; });
+std::size_t chooseTwoInProgress(const Choice &C) {
+  // Flows only break ties: no balancer holds this many for one upstream.
+  constexpr std::uint64_t Request = 1 << 20;
+  return chooseTwo(C, [](const UpstreamRow &R) {
+    return R.InFlight_ * Request + R.OwnFlows_;
+  });
 }
 
-std::size_t UpstreamTable::EndpointHash::operator()(const Endpoint &At) const {
-  return XXH64(At.Address_.data(), At.Address_.size(), At.Port_);
+std::size_t chooseTwoReported(const Choice &C) {
+  return chooseTwo(C, [](const UpstreamRow &R) { return R.ReportedFlows_; });
 }
 
 void UpstreamTable::declare(const Declaration &D, MonoTime Now) {
   for (UpstreamRow &Row : Rows_)
     Row.Declared_ = false;
   for (const Upstream &U : D.Upstreams_) {
-    auto [Known, Fresh] =
-        ById_.try_emplace(raw(U.Id_), static_cast<std::uint32_t>(Rows_.size()));
-    if (Fresh) {
-      Rows_.emplace_back();
-      Rows_.back().Id_ = U.Id_;
-      Rows_.back().WarmAt_ = Started_ ? Now + ColdStart : Now;
-    }
-    UpstreamRow &Row = Rows_[Known->second];
-    Row.Declared_ = true;
-    Row.At_ = U.At_;
-    Row.Slots_ = U.Slots_;
-    Row.Remembers_ = U.RemembersRequests_;
-    ByEndpoint_[U.At_] = Known->second;
+    std::uint32_t Known = byId(U.Id_);
+    MonoTime WarmAt = Started_ ? Now + ColdStart : Now;
+    if (Known != None)
+      WarmAt = Rows_[Known].WarmAt_;
+    std::uint32_t Index = declareOne(U.Id_, U.At_, U.Slots_, WarmAt);
+    Rows_[Index].Remembers_ = U.RemembersRequests_;
   }
   Started_ = true;
   ++Generation_;
 }
 
+std::uint32_t UpstreamTable::declareOne(UpstreamId Id, const Endpoint &At,
+                                        std::uint32_t Slots, MonoTime WarmAt) {
+  std::uint32_t Index = byId(Id);
+  if (Index == None)
+    Index = addRow(Id);
+  UpstreamRow &Row = Rows_[Index];
+  Row.Declared_ = true;
+  Row.At_ = At;
+  Row.Slots_ = Slots;
+  Row.WarmAt_ = WarmAt;
+  ByEndpoint_[At] = Index;
+  ++Generation_;
+  return Index;
+}
+
+std::uint32_t UpstreamTable::addRow(UpstreamId Id) {
+  auto Index = static_cast<std::uint32_t>(Rows_.size());
+  if (Released_.empty()) {
+    Rows_.emplace_back();
+  } else {
+    Index = Released_.back();
+    Released_.pop_back();
+  }
+  Rows_[Index].Id_ = Id;
+  ById_[raw(Id)] = Index;
+  return Index;
+}
+
+void UpstreamTable::withdraw(std::uint32_t Index) {
+  Rows_[Index].Declared_ = false;
+  ++Generation_;
+}
+
+void UpstreamTable::release(std::uint32_t Index) {
+  UpstreamRow &Row = Rows_[Index];
+  ById_.erase(raw(Row.Id_));
+  auto AtAddress = ByEndpoint_.find(Row.At_);
+  if (AtAddress != ByEndpoint_.end() && AtAddress->second == Index)
+    ByEndpoint_.erase(AtAddress);
+  Row = UpstreamRow{};
+  Released_.push_back(Index);
+  ++Generation_;
+}
+
 void UpstreamTable::setLeaving(UpstreamId Id, bool Leaving) {
   std::uint32_t Index = byId(Id);
   if (Index == None || Rows_[Index].Leaving_ == Leaving)
@@ -119,11 +159,8 @@
 }
 
 std::uint32_t UpstreamTable::adopt(UpstreamId Id, const Endpoint &At) {
-  auto Index = static_cast<std::uint32_t>(Rows_.size());
-  Rows_.emplace_back();
-  Rows_.back().Id_ = Id;
-  Rows_.back().At_ = At;
-  ById_[raw(Id)] = Index;
+  std::uint32_t Index = addRow(Id);
+  Rows_[Index].At_ = At;
   ByEndpoint_.try_emplace(At, Index);
   return Index;
 }
