--- a/include/thymewall/declaration.h
+++ b/include/thymewall/declaration.h
@@ -5,7 +5,7 @@
 #ifndef THYMEWALL_DECLARATION_H
 #define THYMEWALL_DECLARATION_H
 
-#include "thymewall/core.h"
+#include "thymewall/problem.h"
 
 #include <boost/leaf/result.hpp>
 #include <functional>
@@ -18,17 +18,6 @@
 
 constexpr std::size_t MaxDocument = 1024 * 1024;
 
-/// One fault of a document: where it is and what is wrong.
-struct Problem {
-  std::string File_;
-  std::string Key_;
-  std::string Reason_;
-};
-bool operator==(const Problem &A, const Problem &B);
-/// "FILE: KEY: REASON".
-std::string format(const Problem &P);
-using Problems = std::vector<Problem>;
-
 using Labels = std::map<std::string, std::string>;
 
 /// One condition of a selector.
--- /dev/null
+++ b/include/thymewall/packet-settings.h
@@ -0,0 +1,33 @@
+/// \file
+/// Settings of a packet balancer's process: one JSON object, every key checked.
+#ifndef THYMEWALL_PACKET_SETTINGS_H
+#define THYMEWALL_PACKET_SETTINGS_H
+
+#include "thymewall/problem.h"
+
+#include <boost/leaf/result.hpp>
+
+namespace thymewall {
+
+struct PacketSettings {
+  std::string Name_;
+  std::string DataHall_;
+  Endpoint Packets_;       ///< Callers' packets arrive here.
+  Endpoint Readiness_;     ///< Asked by the fabric.
+  Endpoint Control_;       ///< Peers find this process here.
+  Endpoint Configuration_; ///< The configuration service.
+  std::uint16_t MetricsPort_ = 0;
+  std::vector<Endpoint> Seeds_; ///< Control addresses of a few peers.
+  Micros RoutingWithin_{};      ///< A routing table must be in force by then.
+  Micros StopWithin_{};         ///< After a stop signal, before force is used.
+  Micros FlowLimit_{};          ///< A flow older than this may be forgotten.
+};
+bool operator==(const PacketSettings &A, const PacketSettings &B);
+
+/// Parses settings; the error object is `Problems`.
+boost::leaf::result<PacketSettings>
+parsePacketSettings(const std::string &Text, const std::string &File);
+
+} // namespace thymewall
+
+#endif
--- a/include/thymewall/routing.h
+++ b/include/thymewall/routing.h
@@ -7,6 +7,7 @@
 #include "thymewall/core.h"
 
 #include <memory>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -27,8 +28,6 @@
 
 struct RoutingTable {
   Version Version_ = 0;
-  /// Text from which the table was decoded, as peers exchange it.
-  std::string Text_;
   std::unordered_map<Endpoint, std::vector<ServiceShare>, EndpointHash>
       Addresses_;
   std::unordered_map<std::uint32_t, std::string> ServiceNames_;
--- a/src/declaration.cc
+++ b/src/declaration.cc
@@ -13,15 +13,6 @@
 using detail::ObjectReader;
 using detail::ProblemList;
 
-bool operator==(const Problem &A, const Problem &B) {
-  return std::tie(A.File_, A.Key_, A.Reason_) ==
-         std::tie(B.File_, B.Key_, B.Reason_);
-}
-
-std::string format(const Problem &P) {
-  return P.File_ + ": " + P.Key_ + ": " + P.Reason_;
-}
-
 bool matches(const Term &T, const Labels &L) {
   auto Found = L.find(T.Key_);
   bool Present = Found != L.end();
--- /dev/null
+++ b/src/http-client.cc
@@ -0,0 +1,167 @@
+#include "http-client.h"
+
+#include "udp-socket.h"
+
+#include <asio/connect.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace thymewall::detail {
+
+namespace {
+
+namespace http = boost::beast::http;
+using Parser = http::response_parser<http::string_body>;
+
+/// Largest answer: a page of items with some room.
+constexpr std::uint64_t MaxBody = 8 << 20;
+constexpr std::size_t ReadSize = 16384;
+
+} // namespace
+
+class HttpClient::Impl : public std::enable_shared_from_this<Impl> {
+public:
+  Impl(asio::io_context &Context, const Endpoint &Server)
+      : Socket_(Context), Timer_(Context), Server_(toAsio(Server)),
+        Host_(formatEndpoint(Server)) {}
+
+  void get(const std::string &Target, std::chrono::steady_clock::time_point By,
+           Handler OnAnswer) {
+    OnAnswer_ = std::move(OnAnswer);
+    Request_ = "GET " + Target + " HTTP/1.1\r\nHost: " + Host_ + "\r\n\r\n";
+    ++Call_;
+    Timer_.expires_at(By);
+    Timer_.async_wait([Self = shared_from_this(), Call = Call_](
+                          const asio::error_code &Error) {
+      if (!Error && Self->Call_ == Call)
+        Self->fail("no answer in time");
+    });
+    if (Socket_.is_open())
+      send();
+    else
+      connect();
+  }
+
+  void close() {
+    OnAnswer_ = nullptr;
+    ++Call_;
+    Timer_.cancel();
+    asio::error_code Ignored;
+    Socket_.close(Ignored);
+  }
+
+private:
+  /// Wraps a completion handler: it does nothing once the call has ended.
+  template <typename Function> auto during(Function Then) {
+    return [Self = shared_from_this(), Call = Call_,
+            Then](const asio::error_code &Error, auto... Rest) {
+      if (Self->Call_ != Call)
+        return;
+      if (Error)
+        Self->fail(Error.message());
+      else
+        Then(*Self, Rest...);
+    };
+  }
+
+  void connect() {
+    Socket_.async_connect({Server_.address(), Server_.port()},
+                          during([](Impl &Self) {
+                            asio::error_code Ignored;
+                            Self.Socket_.set_option(
+                                asio::ip::tcp::no_delay(true), Ignored);
+                            Self.send();
+                          }));
+  }
+
+  void send() {
+    asio::async_write(
+        Socket_, asio::buffer(Request_),
+        during([](Impl &Self, std::size_t) { Self.startReading(); }));
+  }
+
+  void startReading() {
+    Parser_.emplace();
+    Parser_->body_limit(MaxBody);
+    Parser_->eager(true);
+    Pending_.clear();
+    read();
+  }
+
+  void read() {
+    Socket_.async_read_some(
+        asio::buffer(Buffer_),
+        during([](Impl &Self, std::size_t Size) { Self.parse(Size); }));
+  }
+
+  void parse(std::size_t Size) {
+    Pending_.append(Buffer_.data(), Size);
+    boost::system::error_code Error;
+    std::size_t Used = 0;
+    while (Used < Pending_.size() && !Parser_->is_done()) {
+      std::size_t Taken = Parser_->put(
+          boost::asio::const_buffer(Pending_.data() + Used,
+                                    Pending_.size() - Used),
+          Error);
+      Used += Taken;
+      if (Error == http::error::need_more || Taken == 0)
+        break;
+      if (Error)
+        return fail("not HTTP: " + Error.message());
+    }
+    Pending_.erase(0, Used);
+    if (Parser_->is_done())
+      finish();
+    else
+      read();
+  }
+
+  void finish() {
+    HttpAnswer Answer{Parser_->get().result_int(),
+                      std::move(Parser_->get().body())};
+    bool Kept = Parser_->keep_alive();
+    Handler Done = std::move(OnAnswer_);
+    endCall(!Kept);
+    Done(std::move(Answer), "");
+  }
+
+  void fail(const std::string &Reason) {
+    Handler Done = std::move(OnAnswer_);
+    endCall(true);
+    Done(std::nullopt, Reason);
+  }
+
+  void endCall(bool Close) {
+    ++Call_;
+    Timer_.cancel();
+    asio::error_code Ignored;
+    if (Close)
+      Socket_.close(Ignored);
+  }
+
+  asio::ip::tcp::socket Socket_;
+  asio::steady_timer Timer_;
+  asio::ip::udp::endpoint Server_;
+  std::string Host_;
+  std::string Request_;
+  std::string Pending_; ///< Read, but not parsed yet.
+  std::optional<Parser> Parser_;
+  std::array<char, ReadSize> Buffer_{};
+  Handler OnAnswer_;
+  std::uint64_t Call_ = 0; ///< Changes when a call starts and when it ends.
+};
+
+HttpClient::HttpClient(asio::io_context &Context, const Endpoint &Server)
+    : Impl_(std::make_shared<Impl>(Context, Server)) {}
+HttpClient::~HttpClient() { Impl_->close(); }
+void HttpClient::get(const std::string &Target,
+                     std::chrono::steady_clock::time_point By,
+                     Handler OnAnswer) {
+  Impl_->get(Target, By, std::move(OnAnswer));
+}
+
+} // namespace thymewall::detail
--- /dev/null
+++ b/src/http-client.h
@@ -0,0 +1,43 @@
+/// \file
+/// An HTTP/1.1 client on an Asio context: one connection that is kept, one call
+/// at a time, and a deadline for each. Messages are parsed by Boost.Beast.
+#ifndef THYMEWALL_SRC_HTTP_CLIENT_H
+#define THYMEWALL_SRC_HTTP_CLIENT_H
+
+#include "thymewall/core.h"
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace thymewall::detail {
+
+struct HttpAnswer {
+  unsigned Status_ = 0;
+  std::string Body_;
+};
+
+class HttpClient {
+public:
+  /// Nothing when the connection failed or the deadline passed; \p Reason says
+  /// which.
+  using Handler =
+      std::function<void(std::optional<HttpAnswer>, const std::string &Reason)>;
+
+  HttpClient(asio::io_context &Context, const Endpoint &Server);
+  ~HttpClient();
+
+  /// Calls \p OnAnswer once, never before this returns. The call before must
+  /// have been answered. After a failure the connection is made anew.
+  void get(const std::string &Target, std::chrono::steady_clock::time_point By,
+           Handler OnAnswer);
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> Impl_;
+};
+
+} // namespace thymewall::detail
+
+#endif
--- a/src/json-reader.cc
+++ b/src/json-reader.cc
@@ -140,4 +140,18 @@
       fault(Key.c_str(), "is not a known key");
 }
 
+std::vector<Endpoint> readEndpoints(ObjectReader &Reader, const char *Key,
+                                    bool Required, ProblemList &Found) {
+  std::vector<Endpoint> Result;
+  for (const Json &Item : Reader.array(Key, Required)) {
+    std::string Value = Item.is_string() ? Item.get<std::string>() : "";
+    std::string Path =
+        std::string(Key) + "[" + std::to_string(Result.size()) + "]";
+    Result.push_back(parseEndpoint(Value));
+    if (Result.back().empty())
+      Found.add(Path, "must be an IP number and port");
+  }
+  return Result;
+}
+
 } // namespace thymewall::detail
--- a/src/json-reader.h
+++ b/src/json-reader.h
@@ -4,7 +4,7 @@
 #ifndef THYMEWALL_SRC_JSON_READER_H
 #define THYMEWALL_SRC_JSON_READER_H
 
-#include "thymewall/declaration.h"
+#include "thymewall/problem.h"
 
 #include <nlohmann/json.hpp>
 #include <set>
@@ -60,6 +60,10 @@
   std::set<std::string> Asked_;
 };
 
+/// An array of addresses; a bad one is a problem with its place.
+std::vector<Endpoint> readEndpoints(ObjectReader &Reader, const char *Key,
+                                    bool Required, ProblemList &Found);
+
 } // namespace thymewall::detail
 
 #endif
--- /dev/null
+++ b/src/packet-settings.cc
@@ -0,0 +1,55 @@
+#include "thymewall/packet-settings.h"
+
+#include "json-reader.h"
+
+#include <boost/leaf/error.hpp>
+
+namespace thymewall {
+
+namespace {
+
+/// Bounds of times in settings: more than a day is a mistake in the unit.
+constexpr std::int64_t DayMs = 86'400'000;
+
+Micros readMs(detail::ObjectReader &Reader, const char *Key) {
+  return std::chrono::milliseconds(Reader.integer(Key, 1, DayMs));
+}
+
+} // namespace
+
+bool operator==(const PacketSettings &A, const PacketSettings &B) {
+  auto Fields = [](const PacketSettings &S) {
+    return std::tie(S.Name_, S.DataHall_, S.Packets_, S.Readiness_, S.Control_,
+                    S.Configuration_, S.MetricsPort_, S.Seeds_,
+                    S.RoutingWithin_, S.StopWithin_, S.FlowLimit_);
+  };
+  return Fields(A) == Fields(B);
+}
+
+boost::leaf::result<PacketSettings>
+parsePacketSettings(const std::string &Text, const std::string &File) {
+  detail::ProblemList Found(File);
+  detail::Json Root = detail::parseJson(Text, Found);
+  if (!Found.empty())
+    return boost::leaf::new_error(Found.all());
+  detail::ObjectReader Reader(Root, "", Found);
+  PacketSettings S;
+  S.Name_ = Reader.string("name");
+  S.DataHall_ = Reader.string("data_hall");
+  S.Packets_ = Reader.endpoint("packets");
+  S.Readiness_ = Reader.endpoint("readiness");
+  S.Control_ = Reader.endpoint("control");
+  S.Configuration_ = Reader.endpoint("configuration");
+  S.MetricsPort_ =
+      static_cast<std::uint16_t>(Reader.integer("metrics_port", 1, 65535));
+  S.Seeds_ = detail::readEndpoints(Reader, "seeds", true, Found);
+  S.RoutingWithin_ = readMs(Reader, "routing_within_ms");
+  S.StopWithin_ = readMs(Reader, "stop_within_ms");
+  S.FlowLimit_ = readMs(Reader, "flow_limit_ms");
+  Reader.finish();
+  if (!Found.empty())
+    return boost::leaf::new_error(Found.all());
+  return S;
+}
+
+} // namespace thymewall
--- a/src/program.h
+++ b/src/program.h
@@ -4,7 +4,7 @@
 #ifndef THYMEWALL_SRC_PROGRAM_H
 #define THYMEWALL_SRC_PROGRAM_H
 
-#include "thymewall/declaration.h"
+#include "thymewall/problem.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <cxxopts.hpp>
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -21,21 +21,6 @@
   return Result;
 }
 
-std::vector<Endpoint> readEndpoints(detail::ObjectReader &Reader,
-                                    const char *Key, bool Required,
-                                    detail::ProblemList &Found) {
-  std::vector<Endpoint> Result;
-  for (const detail::Json &Item : Reader.array(Key, Required)) {
-    std::string Value = Item.is_string() ? Item.get<std::string>() : "";
-    std::string Path =
-        std::string(Key) + "[" + std::to_string(Result.size()) + "]";
-    Result.push_back(parseEndpoint(Value));
-    if (Result.back().empty())
-      Found.add(Path, "must be an IP number and port");
-  }
-  return Result;
-}
-
 /// One key, or two while the second is being rotated out.
 KeyPair readKeys(detail::ObjectReader &Reader, detail::ProblemList &Found) {
   KeyPair Result{};
@@ -70,7 +55,7 @@
   S.Control_ = Reader.endpoint("control");
   S.Status_ = Reader.endpoint("status");
   S.Platform_ = Reader.endpoint("platform");
-  S.Seeds_ = readEndpoints(Reader, "seeds", false, Found);
+  S.Seeds_ = detail::readEndpoints(Reader, "seeds", false, Found);
   S.Keys_ = readKeys(Reader, Found);
   S.WatchersPerHall_ = static_cast<std::uint32_t>(
       Reader.integerOr("watchers_per_hall", 2, 1, 100));
@@ -90,7 +75,7 @@
     return boost::leaf::new_error(Found.all());
   detail::ObjectReader Reader(Root, "", Found);
   std::vector<std::string> Result;
-  for (const Endpoint &Where : readEndpoints(Reader, "balancers", true, Found))
+  for (const Endpoint &Where : detail::readEndpoints(Reader, "balancers", true, Found))
     Result.push_back(formatEndpoint(Where));
   Reader.finish();
   if (!Found.empty())
--- a/src/upstream-list.cc
+++ b/src/upstream-list.cc
@@ -44,16 +44,16 @@
   for (const UpstreamChange &Change : Batch.Changes_)
     if (Change.Entry_)
       Present.insert(Change.Incarnation_);
-  for (auto Row = Entries_.begin(); Row != Entries_.end();) {
-    bool Absent = Present.count(Row->first) == 0;
-    bool ListedLater = Row->second.At_ > Batch.Through_;
+  for (auto Item = Entries_.begin(); Item != Entries_.end();) {
+    bool Absent = Present.count(Item->first) == 0;
+    bool ListedLater = Item->second.At_ > Batch.Through_;
     if (!Absent || ListedLater) {
-      ++Row;
+      ++Item;
       continue;
     }
     // When it ended is not known: the list's own revision is late enough.
-    Applied.push_back({Row->first, Batch.Through_, std::nullopt});
-    Row = Entries_.erase(Row);
+    Applied.push_back({Item->first, Batch.Through_, std::nullopt});
+    Item = Entries_.erase(Item);
   }
   // Ends between the old and the new revision were not told one by one.
   Ends_.clear();
@@ -73,9 +73,9 @@
   Batch.Whole_ = After < EndsKnownAfter_ || After == 0;
   Batch.After_ = Batch.Whole_ ? 0 : After;
   Batch.Through_ = Through_;
-  for (const auto &[Which, Row] : Entries_)
-    if (Batch.Whole_ || Row.At_ > After)
-      Batch.Changes_.push_back({Which, Row.At_, Row.Entry_});
+  for (const auto &[Which, Known] : Entries_)
+    if (Batch.Whole_ || Known.At_ > After)
+      Batch.Changes_.push_back({Which, Known.At_, Known.Entry_});
   if (Batch.Whole_)
     return Batch;
   for (auto End = Ends_.upper_bound(After); End != Ends_.end(); ++End)
