Settings are read again on SIGHUP and when the file changes

Change: SettingsWatch; bad settings are logged with file, key and reason and what is in force stays; keys that need a restart are told.

--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -133,6 +133,8 @@
   /// All that was published up to \p AsOf is known.
   void confirm(MonoTime AsOf);
   void tick(MonoTime Now);
+  /// Changes `ResetWhenKnown_` and `FlowLimit_` of the options.
+  void setLimits(Micros ResetWhenKnown, Micros FlowLimit);
 
   /// True once a routing table and a list of upstreams are in hand.
   bool ready() const;
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -40,6 +40,10 @@
                       bool MayReturn);
   void confirm(MonoTime AsOf) { KnownAsOf_ = std::max(KnownAsOf_, AsOf); }
   void tick(MonoTime Now);
+  void setLimits(Micros ResetWhenKnown, Micros FlowLimit) {
+    Options_.ResetWhenKnown_ = ResetWhenKnown;
+    Options_.FlowLimit_ = FlowLimit;
+  }
   bool ready() const { return Routing_ && ListKnown_; }
   const PacketCounters &counters() const { return Counters_; }
   PacketStatus status(MonoTime Now) const;
@@ -467,6 +471,9 @@
 }
 void PacketBalancer::confirm(MonoTime AsOf) { Impl_->confirm(AsOf); }
 void PacketBalancer::tick(MonoTime Now) { Impl_->tick(Now); }
+void PacketBalancer::setLimits(Micros ResetWhenKnown, Micros FlowLimit) {
+  Impl_->setLimits(ResetWhenKnown, FlowLimit);
+}
 bool PacketBalancer::ready() const { return Impl_->ready(); }
 const PacketCounters &PacketBalancer::counters() const {
   return Impl_->counters();
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -1,6 +1,7 @@
 #include "packet-process.h"
 
 #include "http-server.h"
+#include "settings-watch.h"
 #include "thymewall/log.h"
 #include "udp-socket.h"
 
@@ -30,16 +31,24 @@
 /// Before the platform would end the process by force.
 constexpr Micros StopMargin = std::chrono::milliseconds(600);
 
+/// How often the settings file is looked at without a signal.
+constexpr Micros SettingsLookEvery = std::chrono::seconds(2);
+
 double randomShare() {
   std::random_device Device;
   return std::uniform_real_distribution<double>(0, 1)(Device);
 }
 
-PacketBalancer makeCore(const PacketSettings &S) {
-  // Half a second of the bound is left for the packet and for the clocks.
+/// How recent knowledge must be to say that an address is unknown. Half a second
+/// of the bound is left for the packet's way and for the clocks.
+Micros resetWhenKnown(const PacketSettings &S) {
   constexpr Micros Margin = std::chrono::milliseconds(500);
+  return std::max(S.RoutingWithin_ - Margin, Micros(0));
+}
+
+PacketBalancer makeCore(const PacketSettings &S) {
   return PacketBalancerBuilder()
-      .resetWhenKnown(std::max(S.RoutingWithin_ - Margin, Micros(0)))
+      .resetWhenKnown(resetWhenKnown(S))
       .flowLimit(S.FlowLimit_)
       .build();
 }
@@ -49,7 +58,7 @@
 class PacketProcess::Impl {
 public:
   Impl(asio::io_context &Context, const PacketSettings &Configured,
-       PlatformHooks Hooks);
+       std::string SettingsPath, PlatformHooks Hooks);
 
 private:
   void onPacket(const std::uint8_t *Data, std::size_t Size);
@@ -61,10 +70,15 @@
   void endWhenQuiet(MonoTime Now);
   void startCall(MonoTime Now);
   HttpPage page(const std::string &Path);
-  void awaitStop();
+  void awaitSignal();
+  void onReloadSignal();
+  void startStop();
+  void takeSettings(const char *Cause);
+  void lookAtSettings(MonoTime Now);
 
   asio::io_context &Context_;
   PacketSettings Settings_;
+  SettingsWatch Watch_;
   PlatformHooks Hooks_;
   PacketBalancer Core_;
   IntentReader Reader_;
@@ -75,14 +89,17 @@
   asio::steady_timer Timer_;
   asio::signal_set Signals_;
   MonoTime NextTick_{};
+  MonoTime NextSettingsLook_{};
   MonoTime LastPacket_{};
   MonoTime StopFrom_ = MonoTime::max(); ///< Earliest end after a stop signal.
   MonoTime StopBy_ = MonoTime::max();
 };
 
 PacketProcess::Impl::Impl(asio::io_context &Context,
-                          const PacketSettings &Configured, PlatformHooks Hooks)
-    : Context_(Context), Settings_(Configured), Hooks_(std::move(Hooks)),
+                          const PacketSettings &Configured,
+                          std::string SettingsPath, PlatformHooks Hooks)
+    : Context_(Context), Settings_(Configured),
+      Watch_(std::move(SettingsPath)), Hooks_(std::move(Hooks)),
       Core_(makeCore(Settings_)), Reader_(randomShare()),
       Call_(Hooks_.MakeCaller_(Context, Settings_.Configuration_)),
       Packets_(Context, Settings_.Packets_,
@@ -90,8 +107,9 @@
                       std::size_t Size) { onPacket(Data, Size); }),
       Readiness_(Context, Settings_.Readiness_,
                  [this](const std::string &Path) { return page(Path); }),
-      Timer_(Context), Signals_(Context, SIGTERM, SIGINT) {
-  awaitStop();
+      Timer_(Context), Signals_(Context, SIGTERM, SIGINT, SIGHUP) {
+  NextSettingsLook_ = now() + SettingsLookEvery;
+  awaitSignal();
   review();
 }
 
@@ -128,6 +146,7 @@
   if (Now >= NextTick_) {
     Core_.tick(Now);
     endWhenQuiet(Now);
+    lookAtSettings(Now);
     NextTick_ = Now + PacketBalancer::TickEvery;
   }
   startCall(Now);
@@ -176,21 +195,62 @@
   return {Ready ? 200U : 503U, "text/plain", ""};
 }
 
-void PacketProcess::Impl::awaitStop() {
-  Signals_.async_wait([this](const asio::error_code &Error, int) {
+void PacketProcess::Impl::awaitSignal() {
+  Signals_.async_wait([this](const asio::error_code &Error, int Signal) {
     if (Error)
       return;
-    logState("stopping", {});
-    StopFrom_ = std::min(StopFrom_, now() + FabricNotices);
-    StopBy_ = std::min(StopBy_, now() + Settings_.StopWithin_ - StopMargin);
-    awaitStop();
+    if (Signal == SIGHUP)
+      onReloadSignal();
+    else
+      startStop();
+    awaitSignal();
   });
 }
 
+void PacketProcess::Impl::onReloadSignal() {
+  if (Watch_.changed())
+    takeSettings("signal");
+  else
+    logState("settings_unchanged", {{"cause", "signal"}});
+}
+
+void PacketProcess::Impl::startStop() {
+  if (StopBy_ != MonoTime::max())
+    return;
+  logState("stopping", {});
+  MonoTime Now = now();
+  StopFrom_ = Now + FabricNotices;
+  StopBy_ = Now + std::max(Settings_.StopWithin_ - StopMargin, Micros(0));
+}
+
+/// Takes changed settings in; those that need a restart are only told.
+void PacketProcess::Impl::takeSettings(const char *Cause) {
+  std::optional<PacketSettings> Wanted = Watch_.read();
+  if (!Wanted)
+    return;
+  for (const std::string &Key : needRestart(Settings_, *Wanted))
+    logState("settings_need_restart", {{"key", Key}});
+  Settings_.Seeds_ = Wanted->Seeds_;
+  Settings_.StopWithin_ = Wanted->StopWithin_;
+  Settings_.RoutingWithin_ = Wanted->RoutingWithin_;
+  Settings_.FlowLimit_ = Wanted->FlowLimit_;
+  Core_.setLimits(resetWhenKnown(Settings_), Settings_.FlowLimit_);
+  logState("settings_reloaded", {{"cause", Cause}});
+}
+
+void PacketProcess::Impl::lookAtSettings(MonoTime Now) {
+  if (Now < NextSettingsLook_)
+    return;
+  NextSettingsLook_ = Now + SettingsLookEvery;
+  if (Watch_.changed())
+    takeSettings("file");
+}
+
 PacketProcess::PacketProcess(asio::io_context &Context,
                              const PacketSettings &Configured,
-                             PlatformHooks Hooks)
-    : Impl_(std::make_unique<Impl>(Context, Configured, std::move(Hooks))) {}
+                             std::string SettingsPath, PlatformHooks Hooks)
+    : Impl_(std::make_unique<Impl>(Context, Configured, std::move(SettingsPath),
+                                   std::move(Hooks))) {}
 PacketProcess::~PacketProcess() = default;
 
 } // namespace thymewall::detail
--- a/src/packet-process.h
+++ b/src/packet-process.h
@@ -38,8 +38,9 @@
 class PacketProcess {
 public:
   /// Throws `std::system_error` when an address can't be bound.
+  /// \p SettingsPath is read again on SIGHUP and when it changes.
   PacketProcess(asio::io_context &Context, const PacketSettings &Configured,
-                PlatformHooks Hooks);
+                std::string SettingsPath, PlatformHooks Hooks);
   ~PacketProcess();
 
 private:
--- a/src/packet-settings.cc
+++ b/src/packet-settings.cc
@@ -52,4 +52,21 @@
   return S;
 }
 
+std::vector<std::string> needRestart(const PacketSettings &Running,
+                                     const PacketSettings &Wanted) {
+  std::vector<std::string> Keys;
+  auto Compare = [&](const char *Key, bool Same) {
+    if (!Same)
+      Keys.emplace_back(Key);
+  };
+  Compare("name", Running.Name_ == Wanted.Name_);
+  Compare("data_hall", Running.DataHall_ == Wanted.DataHall_);
+  Compare("packets", Running.Packets_ == Wanted.Packets_);
+  Compare("readiness", Running.Readiness_ == Wanted.Readiness_);
+  Compare("control", Running.Control_ == Wanted.Control_);
+  Compare("configuration", Running.Configuration_ == Wanted.Configuration_);
+  Compare("metrics_port", Running.MetricsPort_ == Wanted.MetricsPort_);
+  return Keys;
+}
+
 } // namespace thymewall
