--- a/include/thymewall/intent-reader.h
+++ b/include/thymewall/intent-reader.h
@@ -39,8 +39,8 @@
 class IntentReader {
 public:
   /// How long a watch waits: bounds what a connection that has died silently
-  /// can hide. Measured in docs/PLATFORM.md, "Calls".
-  static constexpr Micros WatchFor = std::chrono::milliseconds(2000);
+  /// can hide, and tells the fleet twice a second that its knowledge is recent.
+  static constexpr Micros WatchFor = std::chrono::milliseconds(500);
   /// Pause after news, so that one call takes several changes in.
   static constexpr Micros PauseAfterNews = std::chrono::milliseconds(500);
   /// Time beyond its wait within which an answer must come: the service
@@ -49,41 +49,41 @@
   /// Pauses after failures double between these.
   static constexpr Micros FirstPause = std::chrono::milliseconds(150);
   static constexpr Micros LongestPause = std::chrono::milliseconds(1200);
-  /// A service that was not heard of for this long was away.
-  static constexpr Micros AwayAfter = std::chrono::milliseconds(1500);
+  /// When many fail together the longest pause grows with their number, so that
+  /// a whole fleet makes about this many calls a second.
+  static constexpr std::size_t FailedCallsPerSecond = 8;
 
   /// \p Spread in [0, 1) keeps processes that start together apart.
   explicit IntentReader(double Spread) : Spread_(Spread) {}
 
-  /// The call that is due at \p Now, if any; at most one is under way.
-  std::optional<IntentCall> next(MonoTime Now);
+  /// The call that is due at \p Now, if any; at most one is under way. None
+  /// starts before \p ReadFrom: others keep this process informed until then.
+  std::optional<IntentCall> next(MonoTime Now, MonoTime ReadFrom);
   /// When `next` should be asked again; the far future while a call is under
   /// way.
-  MonoTime dueAt() const;
-  /// Takes the answer of the call under way in.
-  void answered(MonoTime Now, const IntentAnswer &Answer);
+  MonoTime dueAt(MonoTime ReadFrom) const;
+  /// Takes the answer of the call under way in; \p Fleet processes share the
+  /// reading.
+  void answered(MonoTime Now, const IntentAnswer &Answer, std::size_t Fleet);
   /// Everything through \p Through is known, whoever told it.
-  void known(Revision Through) { Through_ = std::max(Through_, Through); }
+  void known(Revision Through);
   /// The next call must read everything.
   void listAgain() { ListWanted_ = true; }
-  /// True when the last answer ended a time in which the service was away.
-  bool wasAway() const { return WasAway_; }
-  /// When the call under way was sent.
-  MonoTime sentAt() const { return SentAt_; }
+  /// All changes up to this time are in the last answer.
+  MonoTime completeAt() const { return CompleteAt_; }
 
 private:
-  Micros pauseAfter(const IntentAnswer &Answer);
+  Micros pauseAfter(const IntentAnswer &Answer, std::size_t Fleet);
 
   double Spread_;
   Revision Through_ = 0;
   MonoTime DueAt_{};
   MonoTime SentAt_{};
-  MonoTime LastDone_{};
+  MonoTime WaitUntil_{};
+  MonoTime CompleteAt_{};
   Micros FailurePause_ = FirstPause;
   bool ListWanted_ = true;
   bool UnderWay_ = false;
-  bool EverDone_ = false;
-  bool WasAway_ = false;
 };
 
 } // namespace thymewall
--- /dev/null
+++ b/include/thymewall/news-message.h
@@ -0,0 +1,66 @@
+/// \file
+/// What packet balancers tell each other: heartbeats, and the published state to
+/// those that are behind. Encoded as CBOR.
+#ifndef THYMEWALL_NEWS_MESSAGE_H
+#define THYMEWALL_NEWS_MESSAGE_H
+
+#include "thymewall/routing.h"
+#include "thymewall/upstream-list.h"
+
+#include <variant>
+
+namespace thymewall {
+
+/// Another packet balancer, as it is found and linked to.
+struct Member {
+  std::string Name_;
+  std::string DataHall_;
+  Endpoint Control_;
+  /// Since it was last known to be alive, when the message was sent.
+  std::uint32_t AgeMs_ = 0;
+};
+
+/// Sent on every link when the sender's knowledge has become more recent, and
+/// once a second anyway.
+struct PeerHeartbeat {
+  /// `KnownAgeMs_` of a sender that has never heard of the configuration
+  /// service.
+  static constexpr std::uint32_t NeverKnown = ~0U;
+
+  Member Sender_;
+  bool Leaving_ = false;
+  Version Routing_ = 0;
+  Revision Through_ = 0;
+  /// What the sender holds was complete this long ago.
+  std::uint32_t KnownAgeMs_ = NeverKnown;
+  /// Counts the sender's heartbeats on this link, and the last count that it
+  /// had from the receiver: shows how old the message can be.
+  std::uint64_t Sequence_ = 0;
+  std::uint64_t Echo_ = 0;
+  std::vector<Member> Members_;
+};
+
+/// Asks for what is newer than this.
+struct NewsWanted {
+  Version Routing_ = 0;
+  Revision Through_ = 0;
+};
+
+struct News {
+  RoutingTablePtr Routing_; ///< Null when the receiver has it.
+  UpstreamBatch Upstreams_;
+};
+
+using NewsMessage = std::variant<PeerHeartbeat, NewsWanted, News>;
+
+/// Largest message: 67,000 upstreams at about 60 bytes.
+constexpr std::size_t MaxNewsMessage = 8 << 20;
+
+/// Times of upstreams are sent as what is left of them at \p Now.
+std::string encodeNews(const NewsMessage &M, MonoTime Now);
+/// `Malformed` or `Oversized` leave \p M as it was.
+ErrorKind decodeNews(const std::string &Bytes, MonoTime Now, NewsMessage &M);
+
+} // namespace thymewall
+
+#endif
--- /dev/null
+++ b/include/thymewall/news.h
@@ -0,0 +1,120 @@
+/// \file
+/// How published state spreads among packet balancers, and which of them read
+/// the configuration service. One reader serves the whole fleet: its knowledge
+/// spreads with its age, and a balancer whose knowledge grows old reads for
+/// itself, those of a better rank first. Nothing is elected: a reader that dies,
+/// sleeps, is cut off or turned away is replaced because ages grow.
+///
+/// Pure: links are numbers that a harness gives to its connections.
+#ifndef THYMEWALL_NEWS_H
+#define THYMEWALL_NEWS_H
+
+#include "thymewall/news-message.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace thymewall {
+
+enum class LinkId : std::uint64_t {};
+
+/// What the exchange wants done.
+struct NewsHooks {
+  std::function<void(LinkId, const NewsMessage &)> Send_;
+  std::function<void(const Endpoint &Control)> Connect_;
+  std::function<void(LinkId)> Close_;
+  /// A newer routing table is known.
+  std::function<void(const RoutingTablePtr &)> OnRouting_;
+  /// Upstreams have changed. \p MayReturn: nobody had heard of the
+  /// configuration service for a while, so missing ones may come back.
+  std::function<void(const std::vector<UpstreamChange> &, bool MayReturn)>
+      OnUpstreams_;
+  /// Everything that was published up to \p AsOf is known.
+  std::function<void(MonoTime AsOf)> OnConfirmed_;
+};
+
+struct NewsOptions {
+  Member Self_;
+  std::vector<Endpoint> Seeds_;
+};
+
+struct NewsCounters {
+  std::uint64_t HeartbeatsSent_ = 0;
+  std::uint64_t NewsSent_ = 0;
+  std::uint64_t NewsTaken_ = 0;
+  std::uint64_t Gaps_ = 0;
+  std::uint64_t StaleClaims_ = 0;
+  std::size_t Links_ = 0;
+  std::size_t Members_ = 0;
+};
+
+/// A peer as operators see it.
+struct PeerStatus {
+  Member Peer_;
+  bool Linked_ = false;
+};
+
+class NewsExchange {
+public:
+  /// Links that a balancer opens: with those that others open to it, about
+  /// twice as many, which keeps a fleet connected when a third of it is gone.
+  static constexpr std::size_t OpenedLinks = 3;
+  static constexpr Micros HeartbeatEvery = std::chrono::milliseconds(1000);
+  /// Knowledge that is this much more recent is told at once.
+  static constexpr Micros TellAfter = std::chrono::milliseconds(200);
+  /// A link that is silent for longer is closed.
+  static constexpr Micros SilentAfter = std::chrono::milliseconds(2500);
+  /// A claim of knowledge counts only if it was made after a heartbeat of ours
+  /// that is not older than this: bounds by how much a held-up message can
+  /// make knowledge look younger than it is.
+  static constexpr Micros ClaimWithin = std::chrono::milliseconds(1200);
+  /// Age of knowledge at which the next balancers read for themselves: the
+  /// reader confirms every 0.5 s, and every 1.1 s while there is news.
+  static constexpr Micros ReadAfter = std::chrono::milliseconds(1500);
+  static constexpr Micros ReadStep = std::chrono::milliseconds(100);
+  static constexpr std::size_t ReadSteps = 8;
+  /// Older knowledge means that the configuration service was away.
+  static constexpr Micros AwayAfter = std::chrono::milliseconds(2500);
+  /// A member not known to be alive for this long is forgotten.
+  static constexpr Micros ForgetAfter = std::chrono::seconds(8);
+  /// An answer to a request for news must come by then; else another is asked.
+  static constexpr Micros AnswerWithin = std::chrono::milliseconds(300);
+
+  NewsExchange(NewsOptions Options, NewsHooks Hooks);
+  ~NewsExchange();
+
+  void opened(MonoTime Now, LinkId Link, bool OpenedHere);
+  void closed(MonoTime Now, LinkId Link);
+  /// A connection that was asked for has failed.
+  void connectFailed(const Endpoint &Control);
+  void received(MonoTime Now, LinkId Link, const NewsMessage &M);
+  /// The configuration service was read: \p Upstreams and \p Routing (null if
+  /// unchanged) were complete at \p AsOf. False when changes are missing, so
+  /// that the whole list is needed.
+  bool readDone(MonoTime Now, const RoutingTablePtr &Routing,
+                const UpstreamBatch &Upstreams, MonoTime AsOf);
+  void setLeaving(MonoTime Now);
+  void setSeeds(std::vector<Endpoint> Seeds);
+  /// The process was away: what peers say must be proved anew.
+  void forgetLinksProofs();
+  void tick(MonoTime Now);
+
+  /// When this balancer should read the configuration service itself.
+  MonoTime readFrom() const;
+  /// Everything through this revision is known.
+  Revision through() const;
+  MonoTime knownAsOf() const;
+  /// Balancers that share the reading, at least 1 (this one).
+  std::size_t fleetSize() const;
+  NewsCounters counters() const;
+  std::vector<PeerStatus> peers() const;
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace thymewall
+
+#endif
--- a/src/intent-reader.cc
+++ b/src/intent-reader.cc
@@ -4,36 +4,48 @@
 
 namespace thymewall {
 
-std::optional<IntentCall> IntentReader::next(MonoTime Now) {
-  if (UnderWay_ || Now < DueAt_)
+namespace {
+
+bool bringsNews(const IntentAnswer &Answer) {
+  return Answer.Routing_ || !Answer.Batch_.Changes_.empty();
+}
+
+} // namespace
+
+std::optional<IntentCall> IntentReader::next(MonoTime Now, MonoTime ReadFrom) {
+  if (Now < dueAt(ReadFrom))
     return std::nullopt;
   UnderWay_ = true;
   SentAt_ = Now;
+  WaitUntil_ = ListWanted_ ? Now : Now + WatchFor;
   IntentCall Call;
-  Call.WaitUntil_ = Now;
-  if (!ListWanted_) {
-    Call.Kind_ = IntentCall::Kind::Watch;
-    Call.After_ = Through_;
-    Call.WaitUntil_ = Now + WatchFor;
-  }
-  Call.GiveUpAt_ = Call.WaitUntil_ + AnswerWithin;
+  Call.Kind_ = ListWanted_ ? IntentCall::Kind::List : IntentCall::Kind::Watch;
+  Call.After_ = ListWanted_ ? 0 : Through_;
+  Call.WaitUntil_ = WaitUntil_;
+  Call.GiveUpAt_ = WaitUntil_ + AnswerWithin;
   return Call;
 }
 
-MonoTime IntentReader::dueAt() const {
-  return UnderWay_ ? MonoTime::max() : DueAt_;
+MonoTime IntentReader::dueAt(MonoTime ReadFrom) const {
+  return UnderWay_ ? MonoTime::max() : std::max(DueAt_, ReadFrom);
 }
 
-void IntentReader::answered(MonoTime Now, const IntentAnswer &Answer) {
+void IntentReader::known(Revision Through) {
+  Through_ = std::max(Through_, Through);
+  if (Through_ != 0)
+    ListWanted_ = false;
+}
+
+void IntentReader::answered(MonoTime Now, const IntentAnswer &Answer,
+                            std::size_t Fleet) {
   UnderWay_ = false;
-  DueAt_ = Now + pauseAfter(Answer);
+  DueAt_ = Now + pauseAfter(Answer, Fleet);
   switch (Answer.Outcome_) {
   case IntentAnswer::Outcome::Done:
-    WasAway_ = EverDone_ && Now - LastDone_ > AwayAfter + WatchFor;
-    LastDone_ = Now;
-    EverDone_ = true;
-    ListWanted_ = false;
     known(Answer.Batch_.Through_);
+    // A watch that waited to its end without news was complete then; one that
+    // was answered early may have been answered right after it was sent.
+    CompleteAt_ = bringsNews(Answer) || Now < WaitUntil_ ? SentAt_ : WaitUntil_;
     return;
   case IntentAnswer::Outcome::HistoryGone:
     ListWanted_ = true;
@@ -44,18 +56,19 @@
   }
 }
 
-Micros IntentReader::pauseAfter(const IntentAnswer &Answer) {
-  bool News = Answer.Routing_ || !Answer.Batch_.Changes_.empty();
+Micros IntentReader::pauseAfter(const IntentAnswer &Answer, std::size_t Fleet) {
   if (Answer.Outcome_ == IntentAnswer::Outcome::Done) {
     FailurePause_ = FirstPause;
-    return News ? PauseAfterNews : Micros(0);
+    return bringsNews(Answer) ? PauseAfterNews : Micros(0);
   }
   if (Answer.Outcome_ == IntentAnswer::Outcome::HistoryGone)
     return Micros(0);
   Micros Pause = FailurePause_;
-  FailurePause_ = std::min(2 * FailurePause_, LongestPause);
-  auto Part = static_cast<Micros::rep>(Spread_ * static_cast<double>(Pause.count()) / 2);
-  return Pause / 2 + Micros(Part);
+  Micros Shared = std::chrono::seconds(Fleet) / FailedCallsPerSecond;
+  FailurePause_ = std::min(2 * FailurePause_, std::max(LongestPause, Shared));
+  double Part = 0.5 + Spread_ / 2;
+  return Micros(static_cast<Micros::rep>(
+      Part * static_cast<double>(Pause.count())));
 }
 
 } // namespace thymewall
--- /dev/null
+++ b/src/news-message.cc
@@ -0,0 +1,189 @@
+#include "thymewall/news-message.h"
+
+#include <nlohmann/json.hpp>
+
+namespace thymewall {
+
+namespace {
+
+using Json = nlohmann::json;
+
+enum class Type : std::uint8_t { Heartbeat = 1, Wanted, News };
+
+std::int64_t millisLeft(MonoTime Until, MonoTime Now) {
+  auto Left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Until - Now);
+  return std::max<std::int64_t>(Left.count(), 0);
+}
+
+Json toJson(const Member &M) {
+  return {M.Name_, M.DataHall_, formatEndpoint(M.Control_), M.AgeMs_};
+}
+
+Json toJson(const PeerHeartbeat &M, MonoTime) {
+  Json Members = Json::array();
+  for (const Member &Other : M.Members_)
+    Members.push_back(toJson(Other));
+  return {raw(Type::Heartbeat), toJson(M.Sender_), M.Leaving_,
+          M.Routing_,           M.Through_,        M.KnownAgeMs_,
+          M.Sequence_,          M.Echo_,           Members};
+}
+
+Json toJson(const NewsWanted &M, MonoTime) {
+  return {raw(Type::Wanted), M.Routing_, M.Through_};
+}
+
+Json toJson(const RoutingTable &Table) {
+  Json Addresses = Json::array();
+  for (const auto &[At, Shares] : Table.Addresses_) {
+    Json List = Json::array();
+    for (const ServiceShare &S : Shares)
+      List.push_back(Json::array({raw(S.Service_), S.Weight_}));
+    Addresses.push_back(Json::array({formatEndpoint(At), List}));
+  }
+  Json Names = Json::array();
+  for (const auto &[Id, Name] : Table.ServiceNames_)
+    Names.push_back(Name);
+  return Json::array({Table.Version_, Addresses, Names,
+                      Table.IdleLimit_.count()});
+}
+
+Json toJson(const UpstreamChange &Change, MonoTime Now) {
+  Json Result = Json::array({raw(Change.Incarnation_), Change.At_});
+  if (!Change.Entry_)
+    return Result;
+  const UpstreamEntry &E = *Change.Entry_;
+  Result.push_back(Json::array({raw(E.Service_), formatEndpoint(E.At_),
+                                E.DataHall_, E.Slots_, E.Draining_,
+                                millisLeft(E.WarmAt_, Now)}));
+  return Result;
+}
+
+Json toJson(const News &M, MonoTime Now) {
+  Json Changes = Json::array();
+  for (const UpstreamChange &Change : M.Upstreams_.Changes_)
+    Changes.push_back(toJson(Change, Now));
+  Json Table = M.Routing_ ? toJson(*M.Routing_) : Json(nullptr);
+  return {raw(Type::News),     Table,
+          M.Upstreams_.Whole_, M.Upstreams_.After_,
+          M.Upstreams_.Through_, Changes};
+}
+
+Endpoint endpointFrom(const Json &Value) {
+  Endpoint Where = parseEndpoint(Value.get_ref<const std::string &>());
+  if (Where.empty())
+    throw std::invalid_argument("no address");
+  return Where;
+}
+
+Member memberFrom(const Json &J) {
+  return {J.at(0).get<std::string>(), J.at(1).get<std::string>(),
+          endpointFrom(J.at(2)), J.at(3).get<std::uint32_t>()};
+}
+
+NewsMessage heartbeatFrom(const Json &J) {
+  PeerHeartbeat M;
+  M.Sender_ = memberFrom(J.at(1));
+  M.Leaving_ = J.at(2).get<bool>();
+  M.Routing_ = J.at(3).get<Version>();
+  M.Through_ = J.at(4).get<Revision>();
+  M.KnownAgeMs_ = J.at(5).get<std::uint32_t>();
+  M.Sequence_ = J.at(6).get<std::uint64_t>();
+  M.Echo_ = J.at(7).get<std::uint64_t>();
+  for (const Json &Item : J.at(8))
+    M.Members_.push_back(memberFrom(Item));
+  return M;
+}
+
+std::vector<ServiceShare> sharesFrom(const Json &J) {
+  std::vector<ServiceShare> Shares;
+  for (const Json &Item : J) {
+    auto Service = static_cast<ServiceId>(Item.at(0).get<std::uint32_t>());
+    auto Weight = Item.at(1).get<std::uint32_t>();
+    if (Weight == 0)
+      throw std::invalid_argument("weight 0");
+    Shares.push_back({Service, Weight});
+  }
+  if (Shares.empty())
+    throw std::invalid_argument("no share");
+  return Shares;
+}
+
+RoutingTablePtr routingFrom(const Json &J) {
+  if (J.is_null())
+    return nullptr;
+  auto Table = std::make_shared<RoutingTable>();
+  Table->Version_ = J.at(0).get<Version>();
+  for (const Json &Item : J.at(1))
+    Table->Addresses_[endpointFrom(Item.at(0))] = sharesFrom(Item.at(1));
+  for (const Json &Name : J.at(2))
+    Table->ServiceNames_[nameId(Name.get<std::string>())] =
+        Name.get<std::string>();
+  Table->IdleLimit_ = Micros(J.at(3).get<std::int64_t>());
+  return Table;
+}
+
+UpstreamChange changeFrom(const Json &J, MonoTime Now) {
+  UpstreamChange Change;
+  Change.Incarnation_ = static_cast<Incarnation>(J.at(0).get<std::uint64_t>());
+  Change.At_ = J.at(1).get<Revision>();
+  if (J.size() == 2)
+    return Change;
+  const Json &Item = J.at(2);
+  UpstreamEntry E;
+  E.Incarnation_ = Change.Incarnation_;
+  E.Service_ = static_cast<ServiceId>(Item.at(0).get<std::uint32_t>());
+  E.At_ = endpointFrom(Item.at(1));
+  E.DataHall_ = Item.at(2).get<std::string>();
+  E.Slots_ = Item.at(3).get<std::uint32_t>();
+  E.Draining_ = Item.at(4).get<bool>();
+  E.WarmAt_ = Now + std::chrono::milliseconds(Item.at(5).get<std::uint32_t>());
+  Change.Entry_ = E;
+  return Change;
+}
+
+NewsMessage newsFrom(const Json &J, MonoTime Now) {
+  News M;
+  M.Routing_ = routingFrom(J.at(1));
+  M.Upstreams_.Whole_ = J.at(2).get<bool>();
+  M.Upstreams_.After_ = J.at(3).get<Revision>();
+  M.Upstreams_.Through_ = J.at(4).get<Revision>();
+  for (const Json &Item : J.at(5))
+    M.Upstreams_.Changes_.push_back(changeFrom(Item, Now));
+  return M;
+}
+
+NewsMessage messageFrom(const Json &J, MonoTime Now) {
+  switch (static_cast<Type>(J.at(0).get<std::uint8_t>())) {
+  case Type::Heartbeat:
+    return heartbeatFrom(J);
+  case Type::Wanted:
+    return NewsWanted{J.at(1).get<Version>(), J.at(2).get<Revision>()};
+  case Type::News:
+    return newsFrom(J, Now);
+  }
+  throw std::invalid_argument("unknown type");
+}
+
+} // namespace
+
+std::string encodeNews(const NewsMessage &M, MonoTime Now) {
+  Json J =
+      std::visit([Now](const auto &Typed) { return toJson(Typed, Now); }, M);
+  std::string Result;
+  Json::to_cbor(J, Result);
+  return Result;
+}
+
+ErrorKind decodeNews(const std::string &Bytes, MonoTime Now, NewsMessage &M) {
+  if (Bytes.size() > MaxNewsMessage)
+    return ErrorKind::Oversized;
+  try {
+    M = messageFrom(Json::from_cbor(Bytes), Now);
+    return ErrorKind::None;
+  } catch (const std::exception &) {
+    return ErrorKind::Malformed; // the library's, or thrown above
+  }
+}
+
+} // namespace thymewall
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -1,6 +1,7 @@
 #include "packet-process.h"
 
 #include "http-server.h"
+#include "peer-links.h"
 #include "settings-watch.h"
 #include "thymewall/log.h"
 #include "udp-socket.h"
@@ -46,6 +47,10 @@
   return std::max(S.RoutingWithin_ - Margin, Micros(0));
 }
 
+NewsOptions newsOptions(const PacketSettings &S) {
+  return {{S.Name_, S.DataHall_, S.Control_, 0}, S.Seeds_};
+}
+
 PacketBalancer makeCore(const PacketSettings &S) {
   return PacketBalancerBuilder()
       .resetWhenKnown(resetWhenKnown(S))
@@ -65,6 +70,9 @@
   void act(const Forward &F, const std::uint8_t *Data, std::size_t Size);
   void act(const ResetFlow &R, const std::uint8_t *Data, std::size_t Size);
   void act(const Dropped &D, const std::uint8_t *Data, std::size_t Size);
+  PeerLinkHooks linkHooks();
+  NewsHooks newsHooks();
+  void onPeerMessage(LinkId Link, const std::string &Bytes);
   void onAnswer(const IntentAnswer &Answer);
   void review();
   void endWhenQuiet(MonoTime Now);
@@ -82,8 +90,9 @@
   PlatformHooks Hooks_;
   PacketBalancer Core_;
   IntentReader Reader_;
-  UpstreamList List_;
   IntentCaller Call_;
+  PeerLinks Links_;
+  NewsExchange News_;
   UdpSocket Packets_;
   HttpServer Readiness_;
   asio::steady_timer Timer_;
@@ -102,6 +111,8 @@
       Watch_(std::move(SettingsPath)), Hooks_(std::move(Hooks)),
       Core_(makeCore(Settings_)), Reader_(randomShare()),
       Call_(Hooks_.MakeCaller_(Context, Settings_.Configuration_)),
+      Links_(Context, Settings_.Control_, MaxNewsMessage, linkHooks()),
+      News_(newsOptions(Settings_), newsHooks()),
       Packets_(Context, Settings_.Packets_,
                [this](const Endpoint &, const std::uint8_t *Data,
                       std::size_t Size) { onPacket(Data, Size); }),
@@ -145,12 +156,13 @@
   MonoTime Now = now();
   if (Now >= NextTick_) {
     Core_.tick(Now);
+    News_.tick(Now);
     endWhenQuiet(Now);
     lookAtSettings(Now);
     NextTick_ = Now + PacketBalancer::TickEvery;
   }
   startCall(Now);
-  Timer_.expires_at(steady(std::min(NextTick_, Reader_.dueAt())));
+  Timer_.expires_at(steady(std::min(NextTick_, Reader_.dueAt(News_.readFrom()))));
   Timer_.async_wait([this](const asio::error_code &Error) {
     if (!Error)
       review();
@@ -167,27 +179,68 @@
 }
 
 void PacketProcess::Impl::startCall(MonoTime Now) {
-  std::optional<IntentCall> Call = Reader_.next(Now);
+  Reader_.known(News_.through());
+  std::optional<IntentCall> Call = Reader_.next(Now, News_.readFrom());
   if (Call)
     Call_(*Call, [this](const IntentAnswer &Answer) { onAnswer(Answer); });
 }
 
 void PacketProcess::Impl::onAnswer(const IntentAnswer &Answer) {
   MonoTime Now = now();
-  Reader_.answered(Now, Answer);
-  if (Answer.Outcome_ == IntentAnswer::Outcome::Done) {
-    if (Answer.Routing_)
-      Core_.setRouting(Now, Answer.Routing_);
-    std::vector<UpstreamChange> Changes;
-    if (List_.apply(Answer.Batch_, Changes))
-      Core_.applyUpstreams(Now, Changes, Reader_.wasAway());
-    else
-      Reader_.listAgain();
-    Core_.confirm(Reader_.sentAt());
-  }
+  Reader_.answered(Now, Answer, News_.fleetSize());
+  bool Done = Answer.Outcome_ == IntentAnswer::Outcome::Done;
+  if (Done && !News_.readDone(Now, Answer.Routing_, Answer.Batch_,
+                              Reader_.completeAt()))
+    Reader_.listAgain();
   review();
 }
 
+PeerLinkHooks PacketProcess::Impl::linkHooks() {
+  PeerLinkHooks Hooks;
+  Hooks.OnOpen_ = [this](LinkId Link, const std::string &Target) {
+    News_.opened(now(), Link, !Target.empty());
+  };
+  Hooks.OnMessage_ = [this](LinkId Link, const std::string &Bytes) {
+    onPeerMessage(Link, Bytes);
+  };
+  Hooks.OnClose_ = [this](LinkId Link) { News_.closed(now(), Link); };
+  Hooks.OnFailed_ = [this](const std::string &Target) {
+    News_.connectFailed(parseEndpoint(Target));
+  };
+  return Hooks;
+}
+
+void PacketProcess::Impl::onPeerMessage(LinkId Link, const std::string &Bytes) {
+  MonoTime Now = now();
+  NewsMessage M;
+  ErrorKind Kind = decodeNews(Bytes, Now, M);
+  if (Kind == ErrorKind::None)
+    return News_.received(Now, Link, M);
+  logState("peer_message_refused",
+           {{"reason", std::string(errorRow(Kind).Name_)}});
+  Links_.close(Link);
+}
+
+NewsHooks PacketProcess::Impl::newsHooks() {
+  NewsHooks Hooks;
+  Hooks.Send_ = [this](LinkId Link, const NewsMessage &M) {
+    Links_.send(Link, encodeNews(M, now()));
+  };
+  Hooks.Connect_ = [this](const Endpoint &Control) {
+    Links_.connect(formatEndpoint(Control));
+  };
+  Hooks.Close_ = [this](LinkId Link) { Links_.close(Link); };
+  Hooks.OnRouting_ = [this](const RoutingTablePtr &Table) {
+    Core_.setRouting(now(), Table);
+  };
+  Hooks.OnUpstreams_ = [this](const std::vector<UpstreamChange> &Changes,
+                              bool MayReturn) {
+    Core_.applyUpstreams(now(), Changes, MayReturn);
+  };
+  Hooks.OnConfirmed_ = [this](MonoTime AsOf) { Core_.confirm(AsOf); };
+  return Hooks;
+}
+
 HttpPage PacketProcess::Impl::page(const std::string &Path) {
   if (Path != Hooks_.ReadinessPath_)
     return {404, "text/plain", ""};
@@ -219,6 +272,7 @@
     return;
   logState("stopping", {});
   MonoTime Now = now();
+  News_.setLeaving(Now);
   StopFrom_ = Now + FabricNotices;
   StopBy_ = Now + std::max(Settings_.StopWithin_ - StopMargin, Micros(0));
 }
@@ -231,6 +285,7 @@
   for (const std::string &Key : needRestart(Settings_, *Wanted))
     logState("settings_need_restart", {{"key", Key}});
   Settings_.Seeds_ = Wanted->Seeds_;
+  News_.setSeeds(Wanted->Seeds_);
   Settings_.StopWithin_ = Wanted->StopWithin_;
   Settings_.RoutingWithin_ = Wanted->RoutingWithin_;
   Settings_.FlowLimit_ = Wanted->FlowLimit_;
