A reader whose history is gone lists once

Ruled out: the compaction's silent second alone (one list after it is enough). Change: only news beyond what was known clears the wish; tests of the reader.

--- a/src/intent-reader.cc
+++ b/src/intent-reader.cc
@@ -31,9 +31,10 @@
 }
 
 void IntentReader::known(Revision Through) {
-  Through_ = std::max(Through_, Through);
-  if (Through_ != 0)
-    ListWanted_ = false;
+  if (Through <= Through_)
+    return;
+  Through_ = Through;
+  ListWanted_ = false; // changes after it can be watched for
 }
 
 void IntentReader::answered(MonoTime Now, const IntentAnswer &Answer,
@@ -43,6 +44,7 @@
   switch (Answer.Outcome_) {
   case IntentAnswer::Outcome::Done:
     known(Answer.Batch_.Through_);
+    ListWanted_ = false;
     // A watch that waited to its end without news was complete then; one that
     // was answered early may have been answered right after it was sent.
     CompleteAt_ = bringsNews(Answer) || Now < WaitUntil_ ? SentAt_ : WaitUntil_;
--- /dev/null
+++ b/test/intent-reader-test.cc
@@ -0,0 +1,116 @@
+#include "thymewall/intent-reader.h"
+
+#include <doctest/doctest.h>
+
+using namespace thymewall;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Kind = IntentCall::Kind;
+using Outcome = IntentAnswer::Outcome;
+
+MonoTime at(std::chrono::milliseconds Time) { return MonoTime(10s + Time); }
+
+IntentAnswer answer(Outcome What, Revision Through = 0) {
+  IntentAnswer Result;
+  Result.Outcome_ = What;
+  Result.Batch_.Through_ = Through;
+  return Result;
+}
+
+/// An answer that brings one change.
+IntentAnswer news(Revision Through) {
+  IntentAnswer Result = answer(Outcome::Done, Through);
+  Result.Batch_.Changes_.push_back({Incarnation{1}, Through, std::nullopt});
+  return Result;
+}
+
+/// A reader that has read the whole list at time 0, through revision 5.
+IntentReader started() {
+  IntentReader Reader(0);
+  REQUIRE(Reader.next(at(0ms), {}));
+  Reader.answered(at(4ms), answer(Outcome::Done, 5), 1);
+  return Reader;
+}
+
+} // namespace
+
+TEST_CASE("a reader lists first and then watches from what it knows") {
+  IntentReader Reader(0);
+  auto First = Reader.next(at(0ms), {});
+  REQUIRE(First);
+  CHECK(First->Kind_ == Kind::List);
+  CHECK_FALSE(Reader.next(at(1ms), {})); // one call at a time
+  Reader.answered(at(4ms), news(7), 1);
+  MonoTime Due = Reader.dueAt({});
+  CHECK(Due == at(4ms) + IntentReader::PauseAfterNews);
+  auto Second = Reader.next(Due, {});
+  REQUIRE(Second);
+  CHECK(Second->Kind_ == Kind::Watch);
+  CHECK(Second->After_ == 7);
+  CHECK(Second->WaitUntil_ == Due + IntentReader::WatchFor);
+}
+
+TEST_CASE("history that is gone leads to one list, also if peers tell of what is "
+          "known already") {
+  IntentReader Reader = started();
+  REQUIRE(Reader.next(at(10ms), {}));
+  Reader.answered(at(14ms), answer(Outcome::HistoryGone), 1);
+  Reader.known(5); // as the process says before each call
+  auto Again = Reader.next(at(14ms), {});
+  REQUIRE(Again);
+  CHECK(Again->Kind_ == Kind::List);
+  Reader.answered(at(20ms), answer(Outcome::Done, 5), 1);
+  auto Next = Reader.next(at(20ms), {});
+  REQUIRE(Next);
+  CHECK(Next->Kind_ == Kind::Watch);
+}
+
+TEST_CASE("news of peers after a loss of history is watched on from") {
+  IntentReader Reader = started();
+  REQUIRE(Reader.next(at(10ms), {}));
+  Reader.answered(at(14ms), answer(Outcome::HistoryGone), 1);
+  Reader.known(9);
+  auto Next = Reader.next(at(14ms), {});
+  REQUIRE(Next);
+  CHECK(Next->Kind_ == Kind::Watch);
+  CHECK(Next->After_ == 9);
+}
+
+TEST_CASE("no call starts while others keep this process informed") {
+  IntentReader Reader = started();
+  CHECK_FALSE(Reader.next(at(10ms), at(500ms)));
+  CHECK(Reader.dueAt(at(500ms)) == at(500ms));
+  CHECK(Reader.next(at(500ms), at(500ms)));
+}
+
+TEST_CASE("a watch is complete at its end only if it waited without news") {
+  IntentReader Reader = started();
+  REQUIRE(Reader.next(at(10ms), {}));
+  Reader.answered(at(516ms), answer(Outcome::Done, 5), 1);
+  CHECK(Reader.completeAt() == at(510ms));
+  REQUIRE(Reader.next(at(516ms), {}));
+  Reader.answered(at(600ms), news(6), 1);
+  CHECK(Reader.completeAt() == at(516ms));
+}
+
+TEST_CASE("pauses after failures grow with the fleet and end with an answer") {
+  for (std::size_t Fleet : {std::size_t{1}, std::size_t{90}}) {
+    IntentReader Reader(0.5);
+    MonoTime Now = at(0ms);
+    Micros Longest{};
+    for (int I = 0; I < 12; ++I) {
+      REQUIRE(Reader.next(Now, {}));
+      Reader.answered(Now, answer(Outcome::Refused), Fleet);
+      Longest = std::max(Longest, Reader.dueAt({}) - Now);
+      Now = Reader.dueAt({});
+    }
+    Micros Shared = std::chrono::seconds(Fleet) / 8;
+    CHECK(Longest <= std::max(IntentReader::LongestPause, Shared));
+    CHECK(Longest >= std::max(IntentReader::LongestPause, Shared) / 2);
+    REQUIRE(Reader.next(Now, {}));
+    Reader.answered(Now, answer(Outcome::Done, 5), Fleet);
+    CHECK(Reader.dueAt({}) == Now);
+  }
+}
