--- a/include/thymewall/core.h
+++ b/include/thymewall/core.h
@@ -127,8 +127,8 @@
 
 /// What the caller is told for an error kind.
 enum class Answer : std::uint8_t {
-  Silence,       ///< Dropped and counted.
-  NotRun,        ///< No upstream has run it, and none will.
+  Silence,        ///< Dropped and counted.
+  NotRun,         ///< No upstream has run it, and none will.
   OutcomeUnknown, ///< It may have been run; a repeat is the caller's decision.
   Reset ///< The caller's transport is told at once that the flow is over.
 };
--- a/include/thymewall/intent-reader.h
+++ b/include/thymewall/intent-reader.h
@@ -42,7 +42,7 @@
   /// can hide, and tells the fleet twice a second that its knowledge is recent.
   static constexpr Micros WatchFor = std::chrono::milliseconds(500);
   /// Pause after news, so that one call takes several changes in.
-  static constexpr Micros PauseAfterNews = std::chrono::milliseconds(500);
+  static constexpr Micros PauseAfterNews = std::chrono::milliseconds(300);
   /// Time beyond its wait within which an answer must come: the service
   /// answers in milliseconds, and in 0.3 s when it is slow.
   static constexpr Micros AnswerWithin = std::chrono::milliseconds(1000);
--- a/include/thymewall/news-message.h
+++ b/include/thymewall/news-message.h
@@ -1,6 +1,6 @@
 /// \file
-/// What packet balancers tell each other: heartbeats, and the published state to
-/// those that are behind. Encoded as CBOR.
+/// What packet balancers tell each other: heartbeats, and the published state
+/// to those that are behind. Encoded as CBOR.
 #ifndef THYMEWALL_NEWS_MESSAGE_H
 #define THYMEWALL_NEWS_MESSAGE_H
 
@@ -33,6 +33,10 @@
   Revision Through_ = 0;
   /// What the sender holds was complete this long ago.
   std::uint32_t KnownAgeMs_ = NeverKnown;
+  /// Place in the order of readers, and age of the last answer, of the first
+  /// reader that the sender has heard of lately. `NeverKnown` for none.
+  std::uint64_t Reader_ = 0;
+  std::uint32_t ReaderAgeMs_ = NeverKnown;
   /// Counts the sender's heartbeats on this link, and the last count that it
   /// had from the receiver: shows how old the message can be.
   std::uint64_t Sequence_ = 0;
@@ -46,9 +50,12 @@
   Revision Through_ = 0;
 };
 
+/// The answer to `NewsWanted`.
 struct News {
   RoutingTablePtr Routing_; ///< Null when the receiver has it.
   UpstreamBatch Upstreams_;
+  /// As in a heartbeat.
+  std::uint32_t KnownAgeMs_ = PeerHeartbeat::NeverKnown;
 };
 
 using NewsMessage = std::variant<PeerHeartbeat, NewsWanted, News>;
--- a/include/thymewall/news.h
+++ b/include/thymewall/news.h
@@ -2,8 +2,8 @@
 /// How published state spreads among packet balancers, and which of them read
 /// the configuration service. One reader serves the whole fleet: its knowledge
 /// spreads with its age, and a balancer whose knowledge grows old reads for
-/// itself, those of a better rank first. Nothing is elected: a reader that dies,
-/// sleeps, is cut off or turned away is replaced because ages grow.
+/// itself, those of a better rank first. Nothing is elected: a reader that
+/// dies, sleeps, is cut off or turned away is replaced because ages grow.
 ///
 /// Pure: links are numbers that a harness gives to its connections.
 #ifndef THYMEWALL_NEWS_H
@@ -77,7 +77,10 @@
   /// Older knowledge means that the configuration service was away.
   static constexpr Micros AwayAfter = std::chrono::milliseconds(2500);
   /// A member not known to be alive for this long is forgotten.
-  static constexpr Micros ForgetAfter = std::chrono::seconds(8);
+  static constexpr Micros ForgetAfter = std::chrono::seconds(20);
+  /// A peer that could not be reached, or was lost, is not linked to again for
+  /// this long; it links to others itself when it is back.
+  static constexpr Micros AvoidFor = std::chrono::milliseconds(2000);
   /// An answer to a request for news must come by then; else another is asked.
   static constexpr Micros AnswerWithin = std::chrono::milliseconds(300);
 
@@ -87,13 +90,15 @@
   void opened(MonoTime Now, LinkId Link, bool OpenedHere);
   void closed(MonoTime Now, LinkId Link);
   /// A connection that was asked for has failed.
-  void connectFailed(const Endpoint &Control);
+  void connectFailed(MonoTime Now, const Endpoint &Control);
   void received(MonoTime Now, LinkId Link, const NewsMessage &M);
   /// The configuration service was read: \p Upstreams and \p Routing (null if
   /// unchanged) were complete at \p AsOf. False when changes are missing, so
   /// that the whole list is needed.
   bool readDone(MonoTime Now, const RoutingTablePtr &Routing,
                 const UpstreamBatch &Upstreams, MonoTime AsOf);
+  /// A call of the configuration service was not served: another may take over.
+  void readFailed();
   void setLeaving(MonoTime Now);
   void setSeeds(std::vector<Endpoint> Seeds);
   /// The process was away: what peers say must be proved anew.
--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -1,7 +1,8 @@
 /// \file
-/// The decisions of a packet balancer: a caller's packet and the time go in, and
-/// what to do with the packet comes out. Answers do not pass here: upstreams
-/// send them to the caller directly. No socket, thread, clock or randomness.
+/// The decisions of a packet balancer: a caller's packet and the time go in,
+/// and what to do with the packet comes out. Answers do not pass here:
+/// upstreams send them to the caller directly. No socket, thread, clock or
+/// randomness.
 ///
 ///   PacketBalancer B = PacketBalancerBuilder().build();
 ///   B.setRouting(Now, Table);
--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -35,8 +35,8 @@
     Request_ = "GET " + Target + " HTTP/1.1\r\nHost: " + Host_ + "\r\n\r\n";
     ++Call_;
     Timer_.expires_at(By);
-    Timer_.async_wait([Self = shared_from_this(), Call = Call_](
-                          const asio::error_code &Error) {
+    Timer_.async_wait([Self = shared_from_this(),
+                       Call = Call_](const asio::error_code &Error) {
       if (!Error && Self->Call_ == Call)
         Self->fail("no answer in time");
     });
@@ -69,13 +69,12 @@
   }
 
   void connect() {
-    Socket_.async_connect({Server_.address(), Server_.port()},
-                          during([](Impl &Self) {
-                            asio::error_code Ignored;
-                            Self.Socket_.set_option(
-                                asio::ip::tcp::no_delay(true), Ignored);
-                            Self.send();
-                          }));
+    Socket_.async_connect(
+        {Server_.address(), Server_.port()}, during([](Impl &Self) {
+          asio::error_code Ignored;
+          Self.Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
+          Self.send();
+        }));
   }
 
   void send() {
@@ -103,10 +102,10 @@
     boost::system::error_code Error;
     std::size_t Used = 0;
     while (Used < Pending_.size() && !Parser_->is_done()) {
-      std::size_t Taken = Parser_->put(
-          boost::asio::const_buffer(Pending_.data() + Used,
-                                    Pending_.size() - Used),
-          Error);
+      std::size_t Taken =
+          Parser_->put(boost::asio::const_buffer(Pending_.data() + Used,
+                                                 Pending_.size() - Used),
+                       Error);
       Used += Taken;
       if (Error == http::error::need_more || Taken == 0)
         break;
--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -74,9 +74,8 @@
   void parse(std::size_t Size) {
     Pending_.append(Buffer_.data(), Size);
     boost::system::error_code Error;
-    std::size_t Used =
-        Parser_->put(boost::asio::const_buffer(Pending_.data(), Pending_.size()),
-                     Error);
+    std::size_t Used = Parser_->put(
+        boost::asio::const_buffer(Pending_.data(), Pending_.size()), Error);
     Pending_.erase(0, Used);
     if (Parser_->is_done())
       return answer();
@@ -125,17 +124,17 @@
         Pages_(std::make_shared<const Source>(std::move(Pages))) {}
 
   void accept() {
-    Acceptor_.async_accept([Self = shared_from_this()](
-                               const asio::error_code &Error,
-                               asio::ip::tcp::socket Socket) {
-      if (!Self->Acceptor_.is_open())
-        return;
-      if (!Error && *Self->Open_ < MaxConnections)
-        std::make_shared<Connection>(std::move(Socket), Self->Pages_,
-                                     Self->Open_)
-            ->start();
-      Self->accept();
-    });
+    Acceptor_.async_accept(
+        [Self = shared_from_this()](const asio::error_code &Error,
+                                    asio::ip::tcp::socket Socket) {
+          if (!Self->Acceptor_.is_open())
+            return;
+          if (!Error && *Self->Open_ < MaxConnections)
+            std::make_shared<Connection>(std::move(Socket), Self->Pages_,
+                                         Self->Open_)
+                ->start();
+          Self->accept();
+        });
   }
 
   void close() {
--- a/src/intent-reader.cc
+++ b/src/intent-reader.cc
@@ -69,8 +69,8 @@
   Micros Shared = std::chrono::seconds(Fleet) / FailedCallsPerSecond;
   FailurePause_ = std::min(2 * FailurePause_, std::max(LongestPause, Shared));
   double Part = 0.5 + Spread_ / 2;
-  return Micros(static_cast<Micros::rep>(
-      Part * static_cast<double>(Pause.count())));
+  return Micros(
+      static_cast<Micros::rep>(Part * static_cast<double>(Pause.count())));
 }
 
 } // namespace thymewall
--- a/src/news-message.cc
+++ b/src/news-message.cc
@@ -24,8 +24,8 @@
   Json Members = Json::array();
   for (const Member &Other : M.Members_)
     Members.push_back(toJson(Other));
-  return {raw(Type::Heartbeat), toJson(M.Sender_), M.Leaving_,
-          M.Routing_,           M.Through_,        M.KnownAgeMs_,
+  return {raw(Type::Heartbeat), toJson(M.Sender_), M.Leaving_, M.Routing_,
+          M.Through_,           M.KnownAgeMs_,     M.Reader_,  M.ReaderAgeMs_,
           M.Sequence_,          M.Echo_,           Members};
 }
 
@@ -44,8 +44,8 @@
   Json Names = Json::array();
   for (const auto &[Id, Name] : Table.ServiceNames_)
     Names.push_back(Name);
-  return Json::array({Table.Version_, Addresses, Names,
-                      Table.IdleLimit_.count()});
+  return Json::array(
+      {Table.Version_, Addresses, Names, Table.IdleLimit_.count()});
 }
 
 Json toJson(const UpstreamChange &Change, MonoTime Now) {
@@ -53,9 +53,9 @@
   if (!Change.Entry_)
     return Result;
   const UpstreamEntry &E = *Change.Entry_;
-  Result.push_back(Json::array({raw(E.Service_), formatEndpoint(E.At_),
-                                E.DataHall_, E.Slots_, E.Draining_,
-                                millisLeft(E.WarmAt_, Now)}));
+  Result.push_back(
+      Json::array({raw(E.Service_), formatEndpoint(E.At_), E.DataHall_,
+                   E.Slots_, E.Draining_, millisLeft(E.WarmAt_, Now)}));
   return Result;
 }
 
@@ -64,9 +64,9 @@
   for (const UpstreamChange &Change : M.Upstreams_.Changes_)
     Changes.push_back(toJson(Change, Now));
   Json Table = M.Routing_ ? toJson(*M.Routing_) : Json(nullptr);
-  return {raw(Type::News),     Table,
-          M.Upstreams_.Whole_, M.Upstreams_.After_,
-          M.Upstreams_.Through_, Changes};
+  return {
+      raw(Type::News),       Table,   M.Upstreams_.Whole_, M.Upstreams_.After_,
+      M.Upstreams_.Through_, Changes, M.KnownAgeMs_};
 }
 
 Endpoint endpointFrom(const Json &Value) {
@@ -88,9 +88,11 @@
   M.Routing_ = J.at(3).get<Version>();
   M.Through_ = J.at(4).get<Revision>();
   M.KnownAgeMs_ = J.at(5).get<std::uint32_t>();
-  M.Sequence_ = J.at(6).get<std::uint64_t>();
-  M.Echo_ = J.at(7).get<std::uint64_t>();
-  for (const Json &Item : J.at(8))
+  M.Reader_ = J.at(6).get<std::uint64_t>();
+  M.ReaderAgeMs_ = J.at(7).get<std::uint32_t>();
+  M.Sequence_ = J.at(8).get<std::uint64_t>();
+  M.Echo_ = J.at(9).get<std::uint64_t>();
+  for (const Json &Item : J.at(10))
     M.Members_.push_back(memberFrom(Item));
   return M;
 }
@@ -150,6 +152,7 @@
   M.Upstreams_.Through_ = J.at(4).get<Revision>();
   for (const Json &Item : J.at(5))
     M.Upstreams_.Changes_.push_back(changeFrom(Item, Now));
+  M.KnownAgeMs_ = J.at(6).get<std::uint32_t>();
   return M;
 }
 
--- a/src/news.cc
+++ b/src/news.cc
@@ -12,7 +12,7 @@
 
 /// Members told of when a link opens, and with each heartbeat.
 constexpr std::size_t MembersAtOpening = 64;
-constexpr std::size_t MembersPerHeartbeat = 2;
+constexpr std::size_t MembersPerHeartbeat = 3;
 /// Heartbeats whose time of sending is remembered for a link.
 constexpr std::size_t SentTimesKept = 16;
 
@@ -34,8 +34,7 @@
   std::uint64_t Sequence_ = 0;
   std::uint64_t LastHeard_ = 0;
   std::deque<Sent> Sent_;
-  Version Routing_ = 0; ///< As the peer last said.
-  Revision Through_ = 0;
+  MonoTime AskedAt_{}; ///< When news was last asked for.
 
   /// The time after which the peer must have sent a message with this echo.
   MonoTime sentAt(std::uint64_t Echo) const {
@@ -49,6 +48,7 @@
 struct KnownMember {
   Member Member_;
   MonoTime AliveAt_{};
+  MonoTime AvoidUntil_{}; ///< Not linked to before.
 };
 
 } // namespace
@@ -56,17 +56,16 @@
 class NewsExchange::Impl {
 public:
   Impl(NewsOptions Options, NewsHooks Hooks)
-      : Options_(std::move(Options)), Hooks_(std::move(Hooks)) {}
+      : Options_(std::move(Options)), Hooks_(std::move(Hooks)),
+        Score_(detail::readScore(Options_.Self_.Name_)) {}
 
   void opened(MonoTime Now, LinkId Which, bool OpenedHere);
-  void closed(LinkId Which);
-  void connectFailed(const Endpoint &Control) {
-    Connecting_.erase(Control);
-    forgetAddress(Control);
-  }
+  void closed(MonoTime Now, LinkId Which);
+  void connectFailed(MonoTime Now, const Endpoint &Control);
   void received(MonoTime Now, LinkId Which, const NewsMessage &M);
   bool readDone(MonoTime Now, const RoutingTablePtr &Routing,
                 const UpstreamBatch &Upstreams, MonoTime AsOf);
+  void readFailed() { Reading_ = false; }
   void setLeaving(MonoTime Now);
   void setSeeds(std::vector<Endpoint> Seeds) {
     Options_.Seeds_ = std::move(Seeds);
@@ -92,6 +91,7 @@
   bool apply(MonoTime Now, const RoutingTablePtr &Routing,
              const UpstreamBatch &Upstreams);
   void takeClaim(MonoTime Now, const Link &L, const PeerHeartbeat &M);
+  void noteReader(std::uint64_t Score, MonoTime At, MonoTime Now);
   void confirm(MonoTime Now, MonoTime AsOf);
   void learn(MonoTime Now, const Member &Told);
   void askIfBehind(MonoTime Now, LinkId Which, const PeerHeartbeat &M);
@@ -99,10 +99,14 @@
   PeerHeartbeat heartbeat(MonoTime Now, std::size_t Members);
   void beat(MonoTime Now, LinkId Which, Link &L, std::size_t Members);
   void beatAll(MonoTime Now);
-  void keepLinks();
+  void keepLinks(MonoTime Now);
+  void closeUnwanted(const std::vector<Member> &Wanted);
   void connect(const Endpoint &Control);
-  void forgetAddress(const Endpoint &Control);
   bool linkedTo(const std::string &Name) const;
+  std::uint32_t knownAgeMs(MonoTime Now) const {
+    return KnownAsOf_ == MonoTime{} ? PeerHeartbeat::NeverKnown
+                                    : ageMs(KnownAsOf_, Now);
+  }
   std::size_t readRank() const;
 
   NewsOptions Options_;
@@ -113,11 +117,15 @@
   std::map<LinkId, Link> Links_;
   std::map<std::string, KnownMember> Members_; ///< Without this balancer.
   std::set<Endpoint> Connecting_;
+  std::uint64_t Score_;      ///< Place in the order of readers.
+  std::uint64_t Reader_ = 0; ///< Place of the first one that reads.
+  MonoTime ReaderAt_{};      ///< Its last answer.
   MonoTime KnownAsOf_{};
   MonoTime ToldAsOf_{}; ///< `KnownAsOf_` when it was last told.
   MonoTime NextBeat_{};
   MonoTime AskAgainAt_{};
   std::string NextMember_; ///< Where the next heartbeat's members begin.
+  bool Reading_ = false;   ///< Reads, and knows of no better one that does.
   bool Leaving_ = false;
 };
 
@@ -128,16 +136,22 @@
   beat(Now, Which, L, MembersAtOpening);
 }
 
-void NewsExchange::Impl::closed(LinkId Which) {
+void NewsExchange::Impl::closed(MonoTime Now, LinkId Which) {
   auto Known = Links_.find(Which);
   if (Known == Links_.end())
     return;
   std::string Peer = Known->second.Peer_;
   Links_.erase(Known);
-  // A peer whose last link ended is linked to again once somebody says that it
-  // lives.
-  if (!linkedTo(Peer))
-    Members_.erase(Peer);
+  auto Lost = Members_.find(Peer);
+  if (Lost != Members_.end() && !linkedTo(Peer))
+    Lost->second.AvoidUntil_ = Now + AvoidFor;
+}
+
+void NewsExchange::Impl::connectFailed(MonoTime Now, const Endpoint &Control) {
+  Connecting_.erase(Control);
+  for (auto &[Name, Known] : Members_)
+    if (Known.Member_.Control_ == Control)
+      Known.AvoidUntil_ = Now + AvoidFor;
 }
 
 void NewsExchange::Impl::received(MonoTime Now, LinkId Which,
@@ -156,8 +170,6 @@
   Link &L = Links_[Which];
   L.Peer_ = M.Sender_.Name_;
   L.LastHeard_ = M.Sequence_;
-  L.Routing_ = M.Routing_;
-  L.Through_ = M.Through_;
   Connecting_.erase(M.Sender_.Control_);
   if (M.Leaving_)
     Members_.erase(M.Sender_.Name_);
@@ -181,7 +193,21 @@
     ++Counters_.StaleClaims_;
     return;
   }
-  confirm(Now, Now - std::chrono::milliseconds(M.KnownAgeMs_));
+  MonoTime AsOf = Now - std::chrono::milliseconds(M.KnownAgeMs_);
+  if (M.ReaderAgeMs_ != PeerHeartbeat::NeverKnown)
+    noteReader(M.Reader_, Now - std::chrono::milliseconds(M.ReaderAgeMs_), Now);
+  confirm(Now, AsOf);
+}
+
+void NewsExchange::Impl::noteReader(std::uint64_t Score, MonoTime At,
+                                    MonoTime Now) {
+  bool Lapsed = Now - ReaderAt_ >= ReadAfter;
+  if (Now - At >= ReadAfter || (Score > Reader_ && !Lapsed))
+    return;
+  ReaderAt_ = Score == Reader_ ? std::max(ReaderAt_, At) : At;
+  Reader_ = Score;
+  if (Reader_ < Score_)
+    Reading_ = false;
 }
 
 void NewsExchange::Impl::confirm(MonoTime Now, MonoTime AsOf) {
@@ -213,11 +239,13 @@
   if (!Behind || Now < AskAgainAt_)
     return;
   AskAgainAt_ = Now + AnswerWithin;
+  Links_[Which].AskedAt_ = Now;
   Hooks_.Send_(Which, NewsWanted{Ours, List_.through()});
 }
 
-void NewsExchange::Impl::take(MonoTime, LinkId Which, const NewsWanted &M) {
+void NewsExchange::Impl::take(MonoTime Now, LinkId Which, const NewsWanted &M) {
   News Answer;
+  Answer.KnownAgeMs_ = knownAgeMs(Now);
   if (Routing_ && Routing_->Version_ > M.Routing_)
     Answer.Routing_ = Routing_;
   Answer.Upstreams_ = List_.since(M.Through_);
@@ -225,11 +253,17 @@
   Hooks_.Send_(Which, Answer);
 }
 
-void NewsExchange::Impl::take(MonoTime Now, LinkId, const News &M) {
+void NewsExchange::Impl::take(MonoTime Now, LinkId Which, const News &M) {
   AskAgainAt_ = Now;
   ++Counters_.NewsTaken_;
-  if (!apply(Now, M.Routing_, M.Upstreams_))
+  if (!apply(Now, M.Routing_, M.Upstreams_)) {
     ++Counters_.Gaps_; // the next heartbeat shows that we are behind
+    return;
+  }
+  // The answer was made after the question was sent.
+  bool Proved = Now - Links_[Which].AskedAt_ <= ClaimWithin;
+  if (Proved && M.KnownAgeMs_ != PeerHeartbeat::NeverKnown)
+    confirm(Now, Now - std::chrono::milliseconds(M.KnownAgeMs_));
   beatAll(Now);
 }
 
@@ -255,6 +289,8 @@
   Revision Before = List_.through();
   if (!apply(Now, Routing, Upstreams))
     return false;
+  noteReader(Score_, Now, Now);
+  Reading_ = Reader_ == Score_;
   confirm(Now, AsOf);
   if (List_.through() != Before)
     beatAll(Now);
@@ -284,8 +320,10 @@
   M.Leaving_ = Leaving_;
   M.Routing_ = Routing_ ? Routing_->Version_ : 0;
   M.Through_ = List_.through();
-  if (KnownAsOf_ != MonoTime{})
-    M.KnownAgeMs_ = ageMs(KnownAsOf_, Now);
+  M.KnownAgeMs_ = knownAgeMs(Now);
+  M.Reader_ = Reader_;
+  if (Now - ReaderAt_ < ReadAfter)
+    M.ReaderAgeMs_ = ageMs(ReaderAt_, Now);
   auto Next = Members_.upper_bound(NextMember_);
   for (std::size_t I = 0; I < std::min(Count, Members_.size()); ++I) {
     if (Next == Members_.end())
@@ -323,7 +361,7 @@
     if (Now > L.SilentAt_)
       Silent.push_back(Which);
   for (LinkId Which : Silent) {
-    closed(Which);
+    closed(Now, Which);
     Hooks_.Close_(Which);
   }
   for (auto Item = Members_.begin(); Item != Members_.end();) {
@@ -332,7 +370,7 @@
   }
   if (Now >= NextBeat_)
     beatAll(Now);
-  keepLinks();
+  keepLinks(Now);
 }
 
 bool NewsExchange::Impl::linkedTo(const std::string &Name) const {
@@ -341,20 +379,40 @@
   });
 }
 
-void NewsExchange::Impl::keepLinks() {
+void NewsExchange::Impl::keepLinks(MonoTime Now) {
   if (Leaving_)
     return;
   if (Links_.empty())
     for (const Endpoint &Seed : Options_.Seeds_)
       if (Seed != Options_.Self_.Control_)
         connect(Seed);
-  std::vector<Member> All;
+  std::vector<Member> Reachable;
   for (const auto &[Name, Known] : Members_)
-    All.push_back(Known.Member_);
-  for (const Member &Wanted :
-       detail::choosePeers(std::move(All), Options_.Self_, OpenedLinks))
-    if (!linkedTo(Wanted.Name_))
-      connect(Wanted.Control_);
+    if (Known.AvoidUntil_ <= Now)
+      Reachable.push_back(Known.Member_);
+  std::vector<Member> Wanted =
+      detail::choosePeers(std::move(Reachable), Options_.Self_, OpenedLinks);
+  for (const Member &M : Wanted)
+    if (!linkedTo(M.Name_))
+      connect(M.Control_);
+  closeUnwanted(Wanted);
+}
+
+/// Closes links opened to others than the wanted peers, to seeds for example,
+/// once those are linked to: the number of links stays bounded everywhere.
+void NewsExchange::Impl::closeUnwanted(const std::vector<Member> &Wanted) {
+  auto IsWanted = [&](const std::string &Name) {
+    return std::any_of(Wanted.begin(), Wanted.end(),
+                       [&](const Member &M) { return M.Name_ == Name; });
+  };
+  if (Wanted.size() < OpenedLinks)
+    return;
+  for (const Member &M : Wanted)
+    if (!linkedTo(M.Name_))
+      return;
+  for (const auto &[Which, L] : Links_)
+    if (L.OpenedHere_ && !L.Peer_.empty() && !IsWanted(L.Peer_))
+      Hooks_.Close_(Which);
 }
 
 void NewsExchange::Impl::connect(const Endpoint &Control) {
@@ -362,24 +420,16 @@
     Hooks_.Connect_(Control);
 }
 
-void NewsExchange::Impl::forgetAddress(const Endpoint &Control) {
-  for (auto Item = Members_.begin(); Item != Members_.end();) {
-    bool Same = Item->second.Member_.Control_ == Control;
-    Item = Same ? Members_.erase(Item) : std::next(Item);
-  }
-}
-
 std::size_t NewsExchange::Impl::readRank() const {
-  std::uint64_t Own = detail::readScore(Options_.Self_.Name_);
   return static_cast<std::size_t>(
       std::count_if(Members_.begin(), Members_.end(), [&](const auto &Item) {
-        return detail::readScore(Item.first) < Own;
+        return detail::readScore(Item.first) < Score_;
       }));
 }
 
 MonoTime NewsExchange::Impl::readFrom() const {
   std::size_t Rank = readRank();
-  if (Rank == 0 || KnownAsOf_ == MonoTime{})
+  if (Rank == 0 || Reading_ || KnownAsOf_ == MonoTime{})
     return MonoTime{};
   Micros Steps = ReadStep * std::min(Rank, ReadSteps);
   return KnownAsOf_ + ReadAfter + Steps;
@@ -405,9 +455,11 @@
 void NewsExchange::opened(MonoTime Now, LinkId Link, bool OpenedHere) {
   Impl_->opened(Now, Link, OpenedHere);
 }
-void NewsExchange::closed(MonoTime, LinkId Link) { Impl_->closed(Link); }
-void NewsExchange::connectFailed(const Endpoint &Control) {
-  Impl_->connectFailed(Control);
+void NewsExchange::closed(MonoTime Now, LinkId Link) {
+  Impl_->closed(Now, Link);
+}
+void NewsExchange::connectFailed(MonoTime Now, const Endpoint &Control) {
+  Impl_->connectFailed(Now, Control);
 }
 void NewsExchange::received(MonoTime Now, LinkId Link, const NewsMessage &M) {
   Impl_->received(Now, Link, M);
@@ -416,6 +468,7 @@
                             const UpstreamBatch &Upstreams, MonoTime AsOf) {
   return Impl_->readDone(Now, Routing, Upstreams, AsOf);
 }
+void NewsExchange::readFailed() { Impl_->readFailed(); }
 void NewsExchange::setLeaving(MonoTime Now) { Impl_->setLeaving(Now); }
 void NewsExchange::setSeeds(std::vector<Endpoint> Seeds) {
   Impl_->setSeeds(std::move(Seeds));
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -120,8 +120,8 @@
   const std::vector<ServiceShare> *Shares = Routing_->find(P.Service_);
   if (!Shares) {
     bool Fresh = Now - KnownAsOf_ < Options_.ResetWhenKnown_;
-    return refuse(P, Fresh ? ErrorKind::UnknownAddress
-                           : ErrorKind::TableNotFresh);
+    return refuse(P,
+                  Fresh ? ErrorKind::UnknownAddress : ErrorKind::TableNotFresh);
   }
   FlowId Flow = flowOf(P);
   return opens(P) ? open(P, Flow, *Shares) : follow(P, Flow);
@@ -387,8 +387,8 @@
     Detail &D = Details_[Index];
     if (D.Lapsed_ && D.LapsedUntil_ <= Now)
       setGone(Index);
-    bool Forget = D.Gone_ && D.ForgetAt_ <= Now &&
-                  Upstreams_[Index].OwnFlows_ == 0;
+    bool Forget =
+        D.Gone_ && D.ForgetAt_ <= Now && Upstreams_[Index].OwnFlows_ == 0;
     if (!Forget)
       continue;
     IndexOfCookie_.erase(cookieOf(Upstreams_[Index].Incarnation_));
--- a/src/packet-flow.h
+++ b/src/packet-flow.h
@@ -1,7 +1,7 @@
 /// \file
 /// What a packet balancer remembers of a flow that it opened. Only load counts
-/// and the suspicion of upstreams rest on it: a packet finds its upstream by its
-/// cookie alone.
+/// and the suspicion of upstreams rest on it: a packet finds its upstream by
+/// its cookie alone.
 #ifndef THYMEWALL_SRC_PACKET_FLOW_H
 #define THYMEWALL_SRC_PACKET_FLOW_H
 
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -40,8 +40,8 @@
   return std::uniform_real_distribution<double>(0, 1)(Device);
 }
 
-/// How recent knowledge must be to say that an address is unknown. Half a second
-/// of the bound is left for the packet's way and for the clocks.
+/// How recent knowledge must be to say that an address is unknown. Half a
+/// second of the bound is left for the packet's way and for the clocks.
 Micros resetWhenKnown(const PacketSettings &S) {
   constexpr Micros Margin = std::chrono::milliseconds(500);
   return std::max(S.RoutingWithin_ - Margin, Micros(0));
@@ -107,9 +107,9 @@
 PacketProcess::Impl::Impl(asio::io_context &Context,
                           const PacketSettings &Configured,
                           std::string SettingsPath, PlatformHooks Hooks)
-    : Context_(Context), Settings_(Configured),
-      Watch_(std::move(SettingsPath)), Hooks_(std::move(Hooks)),
-      Core_(makeCore(Settings_)), Reader_(randomShare()),
+    : Context_(Context), Settings_(Configured), Watch_(std::move(SettingsPath)),
+      Hooks_(std::move(Hooks)), Core_(makeCore(Settings_)),
+      Reader_(randomShare()),
       Call_(Hooks_.MakeCaller_(Context, Settings_.Configuration_)),
       Links_(Context, Settings_.Control_, MaxNewsMessage, linkHooks()),
       News_(newsOptions(Settings_), newsHooks()),
@@ -162,7 +162,8 @@
     NextTick_ = Now + PacketBalancer::TickEvery;
   }
   startCall(Now);
-  Timer_.expires_at(steady(std::min(NextTick_, Reader_.dueAt(News_.readFrom()))));
+  Timer_.expires_at(
+      steady(std::min(NextTick_, Reader_.dueAt(News_.readFrom()))));
   Timer_.async_wait([this](const asio::error_code &Error) {
     if (!Error)
       review();
@@ -189,8 +190,10 @@
   MonoTime Now = now();
   Reader_.answered(Now, Answer, News_.fleetSize());
   bool Done = Answer.Outcome_ == IntentAnswer::Outcome::Done;
-  if (Done && !News_.readDone(Now, Answer.Routing_, Answer.Batch_,
-                              Reader_.completeAt()))
+  if (!Done)
+    News_.readFailed();
+  else if (!News_.readDone(Now, Answer.Routing_, Answer.Batch_,
+                           Reader_.completeAt()))
     Reader_.listAgain();
   review();
 }
@@ -205,7 +208,7 @@
   };
   Hooks.OnClose_ = [this](LinkId Link) { News_.closed(now(), Link); };
   Hooks.OnFailed_ = [this](const std::string &Target) {
-    News_.connectFailed(parseEndpoint(Target));
+    News_.connectFailed(now(), parseEndpoint(Target));
   };
   return Hooks;
 }
--- a/src/packet-process.h
+++ b/src/packet-process.h
@@ -1,6 +1,6 @@
 /// \file
-/// Sockets, timers and HTTP around a `PacketBalancer`. What speaks to a platform
-/// comes in as hooks.
+/// Sockets, timers and HTTP around a `PacketBalancer`. What speaks to a
+/// platform comes in as hooks.
 #ifndef THYMEWALL_SRC_PACKET_PROCESS_H
 #define THYMEWALL_SRC_PACKET_PROCESS_H
 
--- a/src/peer-choice.cc
+++ b/src/peer-choice.cc
@@ -20,9 +20,10 @@
   std::sort(All.begin(), All.end(), [&](const Member &A, const Member &B) {
     return Score(A) > Score(B);
   });
-  auto Far = std::stable_partition(
-      All.begin(), All.end(),
-      [&](const Member &M) { return M.DataHall_ == Self.DataHall_; });
+  auto Far =
+      std::stable_partition(All.begin(), All.end(), [&](const Member &M) {
+        return M.DataHall_ == Self.DataHall_;
+      });
   auto NearCount = static_cast<std::size_t>(Far - All.begin());
   std::size_t FarCount = All.size() - NearCount;
   std::size_t FarShare = std::min(FarCount, (Limit + 1) / 2);
--- a/src/peer-links.cc
+++ b/src/peer-links.cc
@@ -50,8 +50,8 @@
     std::string Address = formatEndpoint(Listen);
     Address.resize(Address.rfind(':'));
     Server_.set_reuse_addr(true);
-    Server_.listen(asio::ip::tcp::endpoint(asio::ip::make_address(Address),
-                                           Listen.Port_));
+    Server_.listen(
+        asio::ip::tcp::endpoint(asio::ip::make_address(Address), Listen.Port_));
     Server_.start_accept();
   }
 
--- a/src/settings-watch.h
+++ b/src/settings-watch.h
@@ -1,6 +1,6 @@
 /// \file
-/// The settings file of a running process: read again when asked, or when it has
-/// changed without notice.
+/// The settings file of a running process: read again when asked, or when it
+/// has changed without notice.
 #ifndef THYMEWALL_SRC_SETTINGS_WATCH_H
 #define THYMEWALL_SRC_SETTINGS_WATCH_H
 
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -75,7 +75,8 @@
     return boost::leaf::new_error(Found.all());
   detail::ObjectReader Reader(Root, "", Found);
   std::vector<std::string> Result;
-  for (const Endpoint &Where : detail::readEndpoints(Reader, "balancers", true, Found))
+  for (const Endpoint &Where :
+       detail::readEndpoints(Reader, "balancers", true, Found))
     Result.push_back(formatEndpoint(Where));
   Reader.finish();
   if (!Found.empty())
--- a/test/intent-reader-test.cc
+++ b/test/intent-reader-test.cc
@@ -52,8 +52,9 @@
   CHECK(Second->WaitUntil_ == Due + IntentReader::WatchFor);
 }
 
-TEST_CASE("history that is gone leads to one list, also if peers tell of what is "
-          "known already") {
+TEST_CASE(
+    "history that is gone leads to one list, also if peers tell of what is "
+    "known already") {
   IntentReader Reader = started();
   REQUIRE(Reader.next(at(10ms), {}));
   Reader.answered(at(14ms), answer(Outcome::HistoryGone), 1);
--- /dev/null
+++ b/test/news-fleet.cc
@@ -0,0 +1,307 @@
+#include "news-fleet.h"
+
+namespace thymewall::test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Micros LinkDelay = 1ms;
+constexpr Micros ServiceDelay = 4ms;
+constexpr Micros TickEvery = 250ms;
+
+/// How often a waiting watch looks for news: the service's own quickness.
+constexpr Micros WatchLook = 5ms;
+
+} // namespace
+
+NewsFleet::NewsFleet(std::size_t Count, std::size_t Halls)
+    : Nodes_(Count), Halls_(Halls) {
+  for (int I = 0; I < 5; ++I)
+    publish();
+  for (std::size_t Which = 0; Which < Count; ++Which)
+    start(Which);
+}
+
+Member NewsFleet::member(std::size_t Which) const {
+  return {"lb-" + std::to_string(Which),
+          "hall-" + std::to_string(Which % Halls_),
+          Endpoint::v4(static_cast<std::uint32_t>(Which + 1), 8166), 0};
+}
+
+void NewsFleet::start(std::size_t Which) {
+  Node &N = Nodes_[Which];
+  ++N.Life_;
+  N.Alive_ = true;
+  N.Routing_ = 0;
+  N.Links_.clear();
+  N.Held_.clear();
+  NewsOptions Options{member(Which), {}};
+  for (std::size_t Seed = 0; Seed < std::min<std::size_t>(3, size()); ++Seed)
+    Options.Seeds_.push_back(member(Seed).Control_);
+  N.News_ = std::make_unique<NewsExchange>(Options, hooks(Which));
+  N.Reader_ = std::make_unique<IntentReader>(
+      static_cast<double>(Which) / static_cast<double>(Nodes_.size()));
+  tick(Which);
+}
+
+void NewsFleet::after(Micros Delay, std::function<void()> Do) {
+  Queue_.push({Now_ + Delay, ++Order_, std::move(Do)});
+}
+
+void NewsFleet::run(Micros Until) {
+  MonoTime End = Start_ + Until;
+  while (!Queue_.empty() && Queue_.top().At_ <= End) {
+    Later Next = Queue_.top();
+    Queue_.pop();
+    Now_ = Next.At_;
+    Next.Do_();
+  }
+  Now_ = End;
+}
+
+Revision NewsFleet::publish() {
+  Revision R = Log_.size() + 1;
+  UpstreamChange Change{Incarnation{(R + 1) / 2}, R, std::nullopt};
+  if (R % 2 == 1) {
+    UpstreamEntry E;
+    E.Incarnation_ = Change.Incarnation_;
+    E.At_ = Endpoint::v4(static_cast<std::uint32_t>(R), 9000);
+    Change.Entry_ = E;
+  }
+  Log_.push_back(Change);
+  PublishedAt_.push_back(Now_);
+  return R;
+}
+
+Version NewsFleet::publishRouting() {
+  publish(); // takes a revision, like every change
+  RoutingAt_ = Log_.size();
+  return ++RoutingVersion_;
+}
+
+void NewsFleet::onNode(std::size_t Which, std::function<void()> Do) {
+  Node &N = Nodes_[Which];
+  if (!N.Alive_)
+    return;
+  if (N.Asleep_)
+    N.Held_.push_back(std::move(Do));
+  else
+    Do();
+}
+
+void NewsFleet::setAsleep(std::size_t Which, bool Asleep) {
+  Node &N = Nodes_[Which];
+  N.Asleep_ = Asleep;
+  if (Asleep)
+    return;
+  std::vector<std::function<void()>> Held;
+  Held.swap(N.Held_);
+  for (const auto &Do : Held)
+    Do();
+}
+
+void NewsFleet::setTurnedAway(std::size_t Which, bool TurnedAway) {
+  Nodes_[Which].TurnedAway_ = TurnedAway;
+}
+
+void NewsFleet::setSilent(std::size_t Which, bool Silent) {
+  Nodes_[Which].Silent_ = Silent;
+}
+
+void NewsFleet::setHeldUp(std::size_t A, std::size_t B, bool HeldUp) {
+  for (auto Pair : {std::make_pair(A, B), std::make_pair(B, A)}) {
+    if (HeldUp) {
+      HeldUp_.insert(Pair);
+      continue;
+    }
+    HeldUp_.erase(Pair);
+    for (const auto &Do : HeldPackets_[Pair])
+      after(LinkDelay, Do);
+    HeldPackets_[Pair].clear();
+  }
+}
+
+void NewsFleet::kill(std::size_t Which) {
+  Node &N = Nodes_[Which];
+  N.Alive_ = false;
+  auto Links = N.Links_;
+  for (const auto &[Link, Peer] : Links)
+    unlink(Which, Link);
+}
+
+void NewsFleet::restart(std::size_t Which) { start(Which); }
+
+NewsHooks NewsFleet::hooks(std::size_t Which) {
+  NewsHooks Hooks;
+  Hooks.Send_ = [this, Which](LinkId Link, const NewsMessage &M) {
+    deliver(Which, Link, encodeNews(M, Now_));
+  };
+  Hooks.Connect_ = [this, Which](const Endpoint &To) { connect(Which, To); };
+  Hooks.Close_ = [this, Which](LinkId Link) {
+    after(LinkDelay, [this, Which, Link] { unlink(Which, Link); });
+  };
+  Hooks.OnRouting_ = [this, Which](const RoutingTablePtr &Table) {
+    Nodes_[Which].Routing_ = Table->Version_;
+  };
+  Hooks.OnUpstreams_ = [this, Which](const std::vector<UpstreamChange> &,
+                                     bool MayReturn) {
+    Nodes_[Which].MayReturn_ = MayReturn;
+  };
+  Hooks.OnConfirmed_ = [this, Which](MonoTime AsOf) { noteClaim(Which, AsOf); };
+  return Hooks;
+}
+
+void NewsFleet::noteClaim(std::size_t Which, MonoTime AsOf) {
+  Revision Knows = Nodes_[Which].News_->through();
+  if (Knows < PublishedAt_.size() && PublishedAt_[Knows] < AsOf)
+    WorstClaim_ = std::max(WorstClaim_, AsOf - PublishedAt_[Knows]);
+}
+
+void NewsFleet::connect(std::size_t From, const Endpoint &Control) {
+  std::size_t To = Control.Address_[15] - 1U;
+  std::uint64_t Life = Nodes_[From].Life_;
+  after(2 * LinkDelay, [this, From, To, Control, Life] {
+    Node &Here = Nodes_[From];
+    if (!Here.Alive_ || Here.Life_ != Life)
+      return;
+    bool Reached = Nodes_[To].Alive_ && HeldUp_.count({From, To}) == 0;
+    if (!Reached)
+      return onNode(From, [this, From, Control] {
+        Nodes_[From].News_->connectFailed(Now_, Control);
+      });
+    auto Near = static_cast<LinkId>(++LastLink_);
+    auto Far = static_cast<LinkId>(++LastLink_);
+    Here.Links_[Near] = {To, Far};
+    Nodes_[To].Links_[Far] = {From, Near};
+    onNode(From, [=] { Nodes_[From].News_->opened(Now_, Near, true); });
+    onNode(To, [=] { Nodes_[To].News_->opened(Now_, Far, false); });
+  });
+}
+
+void NewsFleet::deliver(std::size_t From, LinkId Link,
+                        const std::string &Bytes) {
+  auto Known = Nodes_[From].Links_.find(Link);
+  if (Known == Nodes_[From].Links_.end())
+    return;
+  auto [To, Far] = Known->second;
+  auto Arrive = [this, To = To, Far = Far, Bytes] {
+    onNode(To, [=] {
+      NewsMessage M;
+      bool Open = Nodes_[To].Links_.count(Far) != 0;
+      if (Open && decodeNews(Bytes, Now_, M) == ErrorKind::None)
+        Nodes_[To].News_->received(Now_, Far, M);
+      review(To);
+    });
+  };
+  if (HeldUp_.count({From, To}) != 0)
+    HeldPackets_[{From, To}].push_back(Arrive);
+  else
+    after(LinkDelay, Arrive);
+}
+
+void NewsFleet::unlink(std::size_t Which, LinkId Link) {
+  auto Known = Nodes_[Which].Links_.find(Link);
+  if (Known == Nodes_[Which].Links_.end())
+    return;
+  auto [Peer, Far] = Known->second;
+  Nodes_[Which].Links_.erase(Known);
+  Nodes_[Peer].Links_.erase(Far);
+  onNode(Which, [=] { Nodes_[Which].News_->closed(Now_, Link); });
+  onNode(Peer, [this, Peer = Peer, Far = Far] {
+    Nodes_[Peer].News_->closed(Now_, Far);
+  });
+}
+
+void NewsFleet::tick(std::size_t Which) {
+  std::uint64_t Life = Nodes_[Which].Life_;
+  onNode(Which, [=] {
+    if (Nodes_[Which].Life_ != Life)
+      return;
+    Nodes_[Which].News_->tick(Now_);
+    review(Which);
+    after(TickEvery, [=] { tick(Which); });
+  });
+}
+
+void NewsFleet::review(std::size_t Which) {
+  Node &N = Nodes_[Which];
+  N.Reader_->known(N.News_->through());
+  auto Call = N.Reader_->next(Now_, N.News_->readFrom());
+  if (Call) {
+    ++Calls_;
+    LastReader_ = Which;
+    serve(Which, *Call);
+    return;
+  }
+  // A call that is due before the next tick.
+  MonoTime Due = N.Reader_->dueAt(N.News_->readFrom());
+  if (Due > Now_ && Due < Now_ + TickEvery)
+    after(Due - Now_, [=, Life = N.Life_] {
+      if (Nodes_[Which].Life_ == Life)
+        onNode(Which, [=] { review(Which); });
+    });
+}
+
+void NewsFleet::serve(std::size_t Which, const IntentCall &Call) {
+  std::uint64_t Life = Nodes_[Which].Life_;
+  auto Answer = [=](Micros Delay, const IntentAnswer &A) {
+    after(Delay, [=] {
+      if (Nodes_[Which].Life_ != Life)
+        return;
+      onNode(Which, [=] {
+        Node &N = Nodes_[Which];
+        N.Reader_->answered(Now_, A, N.News_->fleetSize());
+        if (A.Outcome_ != IntentAnswer::Outcome::Done)
+          N.News_->readFailed();
+        else if (!N.News_->readDone(Now_, A.Routing_, A.Batch_,
+                                    N.Reader_->completeAt()))
+          N.Reader_->listAgain();
+        review(Which);
+      });
+    });
+  };
+  if (Nodes_[Which].Silent_)
+    return Answer(Call.GiveUpAt_ - Now_, {});
+  if (Nodes_[Which].TurnedAway_ || ServiceDown_) {
+    IntentAnswer Refused;
+    Refused.Outcome_ = IntentAnswer::Outcome::Refused;
+    return Answer(ServiceDelay, Refused);
+  }
+  bool News = Call.Kind_ == IntentCall::Kind::List || Log_.size() > Call.After_;
+  if (News || Now_ >= Call.WaitUntil_)
+    return Answer(ServiceDelay, answerNow(Call));
+  after(WatchLook, [=] {
+    if (Nodes_[Which].Alive_ && Nodes_[Which].Life_ == Life)
+      serve(Which, Call);
+  });
+}
+
+IntentAnswer NewsFleet::answerNow(const IntentCall &Call) const {
+  IntentAnswer A;
+  A.Outcome_ = IntentAnswer::Outcome::Done;
+  A.Batch_.Whole_ = Call.Kind_ == IntentCall::Kind::List;
+  A.Batch_.After_ = Call.After_;
+  A.Batch_.Through_ = Log_.size();
+  std::map<Incarnation, UpstreamChange> Last;
+  for (std::size_t I = Call.After_; I < Log_.size(); ++I)
+    Last[Log_[I].Incarnation_] = Log_[I];
+  for (const auto &[Which, Change] : Last)
+    if (Change.Entry_ || !A.Batch_.Whole_)
+      A.Batch_.Changes_.push_back(Change);
+  if (A.Batch_.Whole_ || RoutingAt_ > Call.After_) {
+    auto Table = std::make_shared<RoutingTable>();
+    Table->Version_ = RoutingVersion_;
+    A.Routing_ = Table;
+  }
+  return A;
+}
+
+bool NewsFleet::allKnow(Revision R) const {
+  for (const Node &N : Nodes_)
+    if (N.Alive_ && N.News_->through() < R)
+      return false;
+  return true;
+}
+
+} // namespace thymewall::test
--- /dev/null
+++ b/test/news-fleet.h
@@ -0,0 +1,113 @@
+/// \file
+/// A fleet of news exchanges and readers on virtual time, with a configuration
+/// service and links that lose contact. For tests.
+#ifndef THYMEWALL_TEST_NEWS_FLEET_H
+#define THYMEWALL_TEST_NEWS_FLEET_H
+
+#include "thymewall/intent-reader.h"
+#include "thymewall/news.h"
+
+#include <map>
+#include <queue>
+#include <set>
+
+namespace thymewall::test {
+
+class NewsFleet {
+public:
+  explicit NewsFleet(std::size_t Count, std::size_t Halls = 3);
+
+  /// Runs to \p Until, in virtual time from the start.
+  void run(Micros Until);
+  /// Publishes a change: an upstream comes, or goes again. Gives its revision.
+  Revision publish();
+  /// Publishes a routing table with the next version.
+  Version publishRouting();
+
+  // Troubles; each holds until it is set back.
+  void setAsleep(std::size_t Which, bool Asleep);
+  void setTurnedAway(std::size_t Which, bool TurnedAway);
+  /// Calls of the configuration service are never answered.
+  void setSilent(std::size_t Which, bool Silent);
+  /// Packets between two members are held up; they arrive when it ends.
+  void setHeldUp(std::size_t A, std::size_t B, bool HeldUp);
+  void setServiceDown(bool Down) { ServiceDown_ = Down; }
+  void kill(std::size_t Which);
+  void restart(std::size_t Which);
+
+  Micros now() const { return Now_.time_since_epoch(); }
+  std::size_t size() const { return Nodes_.size(); }
+  std::size_t calls() const { return Calls_; }
+  NewsExchange &news(std::size_t Which) { return *Nodes_[Which].News_; }
+  Version routing(std::size_t Which) const { return Nodes_[Which].Routing_; }
+  bool returning(std::size_t Which) const { return Nodes_[Which].MayReturn_; }
+  /// The member that made the last call.
+  std::size_t lastReader() const { return LastReader_; }
+  /// How far claimed knowledge was ever younger than true: the largest time by
+  /// which a member said to know something that it did not.
+  Micros worstClaim() const { return WorstClaim_; }
+  /// Every living member, awake and not, knows this.
+  bool allKnow(Revision R) const;
+
+private:
+  struct Node {
+    std::unique_ptr<NewsExchange> News_;
+    std::unique_ptr<IntentReader> Reader_;
+    std::map<LinkId, std::pair<std::size_t, LinkId>> Links_;
+    std::vector<std::function<void()>> Held_; ///< While it is asleep.
+    Version Routing_ = 0;
+    std::uint64_t Life_ = 0; ///< Counts restarts.
+    bool Alive_ = true;
+    bool Asleep_ = false;
+    bool TurnedAway_ = false;
+    bool Silent_ = false;
+    bool MayReturn_ = false;
+  };
+  struct Later {
+    MonoTime At_;
+    std::uint64_t Order_;
+    std::function<void()> Do_;
+    bool operator<(const Later &Other) const {
+      return std::tie(Other.At_, Other.Order_) < std::tie(At_, Order_);
+    }
+  };
+
+  Member member(std::size_t Which) const;
+  void start(std::size_t Which);
+  void after(Micros Delay, std::function<void()> Do);
+  /// Does it on behalf of a member: later if it sleeps, never if it restarts.
+  void onNode(std::size_t Which, std::function<void()> Do);
+  NewsHooks hooks(std::size_t Which);
+  void connect(std::size_t From, const Endpoint &To);
+  void deliver(std::size_t From, LinkId Link, const std::string &Bytes);
+  void unlink(std::size_t Which, LinkId Link);
+  void review(std::size_t Which);
+  void tick(std::size_t Which);
+  void serve(std::size_t Which, const IntentCall &Call);
+  IntentAnswer answerNow(const IntentCall &Call) const;
+  void noteClaim(std::size_t Which, MonoTime AsOf);
+
+  std::vector<Node> Nodes_;
+  std::priority_queue<Later> Queue_;
+  std::set<std::pair<std::size_t, std::size_t>> HeldUp_;
+  std::map<std::pair<std::size_t, std::size_t>,
+           std::vector<std::function<void()>>>
+      HeldPackets_;
+  std::vector<UpstreamChange> Log_; ///< Index I has revision I + 1.
+  std::vector<MonoTime> PublishedAt_;
+  Version RoutingVersion_ = 1;
+  Revision RoutingAt_ = 0;
+  std::size_t Halls_;
+  MonoTime Now_{std::chrono::seconds(100)};
+  MonoTime Start_ = Now_;
+  std::uint64_t Order_ = 0;
+  std::uint64_t LastLink_ = 0;
+  std::size_t Calls_ = 0;
+  std::size_t LastReader_ = 0;
+  Micros WorstClaim_{};
+  bool ServiceDown_ = false;
+};
+
+} // namespace thymewall::test
+
+#endif
--- /dev/null
+++ b/test/news-test.cc
@@ -0,0 +1,217 @@
+#include "news-fleet.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace thymewall;
+using namespace thymewall::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Time until everybody knows what is published now; at most \p Limit.
+Micros spread(NewsFleet &Fleet, Micros Limit) {
+  Revision R = Fleet.publish();
+  Micros Start = Fleet.now() - 100s;
+  for (Micros Waited = 0ms; Waited < Limit; Waited += 10ms) {
+    if (Fleet.allKnow(R))
+      return Waited;
+    Fleet.run(Start + Waited + 10ms);
+  }
+  return Limit;
+}
+
+} // namespace
+
+TEST_CASE("one member reads for all, and news is everywhere within a second") {
+  for (std::size_t Size : {std::size_t{1}, std::size_t{8}, std::size_t{90}}) {
+    NewsFleet Fleet(Size);
+    Fleet.run(5s);
+    std::size_t Before = Fleet.calls();
+    Fleet.run(15s);
+    CHECK(Fleet.calls() - Before <= 22); // two a second, whatever the size
+    CHECK(spread(Fleet, 3s) <= 1s);
+    Fleet.publishRouting();
+    Fleet.run(20s);
+    for (std::size_t I = 0; I < Size; ++I)
+      CHECK(Fleet.routing(I) == 2);
+  }
+}
+
+TEST_CASE("the reader's place is taken over, whatever happens to it") {
+  using Trouble = void (*)(NewsFleet &, std::size_t);
+  const Trouble Troubles[] = {
+      [](NewsFleet &F, std::size_t I) { F.kill(I); },
+      [](NewsFleet &F, std::size_t I) { F.setTurnedAway(I, true); },
+      [](NewsFleet &F, std::size_t I) { F.setSilent(I, true); },
+  };
+  for (Trouble Strike : Troubles) {
+    NewsFleet Fleet(8);
+    Fleet.run(5s);
+    Strike(Fleet, Fleet.lastReader());
+    Fleet.run(5s + 50ms);
+    // It was confirmed up to 0.5 s ago; others wait for 1.5 s and their rank.
+    CHECK(spread(Fleet, 4s) <= 2300ms);
+    Fleet.run(20s);
+    CHECK(spread(Fleet, 3s) <= 1s);
+  }
+}
+
+TEST_CASE("a reader that sleeps is replaced and catches up when it wakes") {
+  NewsFleet Fleet(8);
+  Fleet.run(5s);
+  std::size_t Sleeper = Fleet.lastReader();
+  Fleet.setAsleep(Sleeper, true);
+  Fleet.run(8s);
+  Revision R = Fleet.publish();
+  Fleet.run(10s);
+  for (std::size_t I = 0; I < Fleet.size(); ++I)
+    CHECK((I == Sleeper || Fleet.news(I).through() >= R));
+  Fleet.setAsleep(Sleeper, false);
+  Fleet.run(11s);
+  CHECK(Fleet.allKnow(R));
+}
+
+TEST_CASE(
+    "a third of a large fleet turned away hears everything from the rest") {
+  NewsFleet Fleet(90, 5);
+  for (std::size_t I = 0; I < 90; I += 3)
+    Fleet.setTurnedAway(I, true);
+  Fleet.run(8s);
+  std::size_t Before = Fleet.calls();
+  Micros Worst{};
+  for (int I = 0; I < 20; ++I) {
+    Worst = std::max(Worst, spread(Fleet, 3s));
+    Fleet.run(Fleet.now() - 100s + 700ms);
+  }
+  CHECK(Worst <= 1s);
+  CHECK(Fleet.calls() - Before <= 110);
+}
+
+TEST_CASE("a newcomer whose calls fail takes everything from peers") {
+  NewsFleet Fleet(8);
+  Fleet.run(5s);
+  Fleet.kill(5);
+  Fleet.run(6s);
+  Fleet.setServiceDown(true);
+  Fleet.restart(5);
+  Fleet.run(6s + 300ms);
+  CHECK(Fleet.news(5).through() == Fleet.news(0).through());
+  CHECK(Fleet.routing(5) == 1);
+}
+
+TEST_CASE("a member cut off from all peers reads for itself") {
+  NewsFleet Fleet(8);
+  Fleet.run(5s);
+  std::size_t Alone = (Fleet.lastReader() + 1) % 8;
+  for (std::size_t I = 0; I < 8; ++I)
+    if (I != Alone)
+      Fleet.setHeldUp(Alone, I, true);
+  Fleet.run(8s);
+  CHECK(spread(Fleet, 3s) <= 1s);
+}
+
+TEST_CASE("an outage is noticed by all, and its end within two seconds") {
+  NewsFleet Fleet(8);
+  Fleet.run(5s);
+  Fleet.setServiceDown(true);
+  Fleet.run(8s);
+  std::size_t Before = Fleet.calls();
+  Fleet.run(11s);
+  CHECK(Fleet.calls() - Before <= 60); // about 8 a second, by all together
+  Revision R = Fleet.publish();
+  Fleet.setServiceDown(false);
+  Fleet.run(13s);
+  CHECK(Fleet.allKnow(R));
+  for (std::size_t I = 0; I < 8; ++I)
+    CHECK(Fleet.returning(I));
+  spread(Fleet, 3s);
+  for (std::size_t I = 0; I < 8; ++I)
+    CHECK_FALSE(Fleet.returning(I));
+}
+
+TEST_CASE("what was held up does not make knowledge look recent") {
+  rc::check([] {
+    NewsFleet Fleet(6);
+    Fleet.run(3s);
+    Micros Time = 3s;
+    for (int Step = 0; Step < 15; ++Step) {
+      auto A = *rc::gen::inRange<std::size_t>(0, 6);
+      auto B = *rc::gen::inRange<std::size_t>(0, 6);
+      bool On = *rc::gen::arbitrary<bool>();
+      switch (*rc::gen::inRange(0, 6)) {
+      case 0:
+      case 1:
+        if (A != B)
+          Fleet.setHeldUp(A, B, On);
+        break;
+      case 2:
+        Fleet.setAsleep(A, On);
+        break;
+      case 3:
+        Fleet.setTurnedAway(A, On);
+        break;
+      case 4:
+        Fleet.publish();
+        break;
+      case 5:
+        Fleet.setSilent(A, On);
+        break;
+      }
+      Time += std::chrono::milliseconds(*rc::gen::inRange(1, 1500));
+      Fleet.run(Time);
+    }
+    // Claims are taken only if made within `ClaimWithin`, hop by hop.
+    RC_ASSERT(Fleet.worstClaim() <= NewsExchange::ClaimWithin);
+    for (std::size_t I = 0; I < 6; ++I) {
+      Fleet.setAsleep(I, false);
+      Fleet.setTurnedAway(I, false);
+      Fleet.setSilent(I, false);
+      for (std::size_t J = 0; J < I; ++J)
+        Fleet.setHeldUp(I, J, false);
+    }
+    Fleet.run(Time + 5s);
+    RC_ASSERT(spread(Fleet, 3s) <= 2s);
+  });
+}
+
+TEST_CASE("messages between balancers survive their codec") {
+  MonoTime Now(20s);
+  auto Table = std::make_shared<RoutingTable>();
+  Table->Version_ = 7;
+  Table->Addresses_[Endpoint::v4(1, 2)] = {{ServiceId{3}, 4}};
+  Table->ServiceNames_[nameId("index")] = "index";
+  News M;
+  M.Routing_ = Table;
+  M.Upstreams_ = {false, 5, 9, {{Incarnation{1}, 6, std::nullopt}}};
+  UpstreamEntry E;
+  E.Incarnation_ = Incarnation{2};
+  E.Service_ = ServiceId{3};
+  E.At_ = Endpoint::v4(7, 8);
+  E.DataHall_ = "hall";
+  E.Slots_ = 3;
+  E.Draining_ = true;
+  E.WarmAt_ = Now + 1500ms;
+  M.Upstreams_.Changes_.push_back({E.Incarnation_, 9, E});
+  NewsMessage Out;
+  std::string Bytes = encodeNews(M, Now);
+  REQUIRE(decodeNews(Bytes, Now, Out) == ErrorKind::None);
+  const News &Got = std::get<News>(Out);
+  CHECK(Got.Routing_->Version_ == 7);
+  CHECK(*Got.Routing_->find(Endpoint::v4(1, 2)) ==
+        std::vector<ServiceShare>{{ServiceId{3}, 4}});
+  CHECK(Got.Routing_->nameOf(static_cast<ServiceId>(nameId("index"))) ==
+        "index");
+  CHECK(Got.Upstreams_.Changes_[1].Entry_ == E);
+  CHECK_FALSE(Got.Upstreams_.Changes_[0].Entry_);
+  rc::check([&] {
+    std::string Damaged = Bytes;
+    auto Cut = *rc::gen::inRange<std::size_t>(0, Damaged.size());
+    Damaged[Cut] = *rc::gen::arbitrary<char>();
+    if (*rc::gen::arbitrary<bool>())
+      Damaged.resize(Cut);
+    NewsMessage Ignored;
+    ErrorKind Kind = decodeNews(Damaged, Now, Ignored);
+    RC_ASSERT(Kind == ErrorKind::None || Kind == ErrorKind::Malformed);
+  });
+}
--- /dev/null
+++ b/test/packet-balancer-test.cc
@@ -0,0 +1,342 @@
+#include "thymewall/packet-balancer.h"
+
+#include <doctest/doctest.h>
+#include <map>
+#include <rapidcheck.h>
+
+using namespace thymewall;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr ServiceId Index{1};
+constexpr ServiceId Archive{2};
+const Endpoint IndexAt = Endpoint::v4(0xc6120001, 8443);
+const Endpoint ArchiveAt = Endpoint::v4(0xc6120002, 8443);
+
+MonoTime at(std::chrono::milliseconds Time) { return MonoTime(100s + Time); }
+
+RoutingTablePtr table(Version V,
+                      std::vector<std::pair<Endpoint, ServiceId>> Routes) {
+  auto Table = std::make_shared<RoutingTable>();
+  Table->Version_ = V;
+  for (const auto &[Where, Service] : Routes)
+    Table->Addresses_[Where] = {{Service, 1}};
+  return Table;
+}
+
+UpstreamChange up(std::uint64_t Id, ServiceId Service, bool Draining = false,
+                  std::uint32_t Address = 0) {
+  UpstreamEntry E;
+  E.Incarnation_ = Incarnation{Id};
+  E.Service_ = Service;
+  E.At_ = Endpoint::v4(Address ? Address : 0x0a000000 + (Id & 0xffff), 9000);
+  E.Slots_ = 2;
+  E.Draining_ = Draining;
+  return {E.Incarnation_, 1, E};
+}
+
+UpstreamChange gone(std::uint64_t Id) {
+  return {Incarnation{Id}, 2, std::nullopt};
+}
+
+Packet opening(std::uint16_t Port, std::uint32_t Copy = 0,
+               const Endpoint &To = IndexAt) {
+  Packet P;
+  P.Caller_ = Endpoint::v4(0x64400007, Port);
+  P.Service_ = To;
+  P.Acknowledged_ = Copy;
+  P.Opens_ = true;
+  return P;
+}
+
+Packet following(std::uint16_t Port, Cookie Mark, std::uint32_t Acknowledged,
+                 std::uint16_t Data = 0, const Endpoint &To = IndexAt) {
+  Packet P = opening(Port, Acknowledged, To);
+  P.Opens_ = false;
+  P.Acknowledges_ = true;
+  P.Cookie_ = Mark;
+  P.DataSize_ = Data;
+  return P;
+}
+
+/// A balancer with two services: upstreams 1 to 4 of the index, 11 and 12 of
+/// the archive.
+PacketBalancer started() {
+  PacketBalancer B = PacketBalancerBuilder().build();
+  B.setRouting(at(0ms), table(1, {{IndexAt, Index}, {ArchiveAt, Archive}}));
+  B.applyUpstreams(at(0ms), {up(1, Index), up(2, Index), up(3, Index),
+                             up(4, Index), up(11, Archive), up(12, Archive)});
+  B.confirm(at(0ms));
+  return B;
+}
+
+ErrorKind dropReason(const Verdict &V) {
+  const auto *D = std::get_if<Dropped>(&V);
+  return D ? D->Why_ : ErrorKind::None;
+}
+
+const Forward *forwarded(const Verdict &V) { return std::get_if<Forward>(&V); }
+
+std::uint64_t upstreamOf(const Verdict &V) {
+  const Forward *F = forwarded(V);
+  return F ? raw(F->Upstream_) : 0;
+}
+
+} // namespace
+
+TEST_CASE("a flow stays at its upstream at every balancer that has the list") {
+  PacketBalancer A = started();
+  PacketBalancer B = started();
+  for (std::uint16_t Port = 1; Port < 200; ++Port) {
+    Verdict Opened = A.steer(at(10ms), opening(Port));
+    REQUIRE(forwarded(Opened));
+    Cookie Mark = forwarded(Opened)->Cookie_;
+    CHECK(upstreamOf(A.steer(at(20ms), following(Port, Mark, 1, 100))) ==
+          upstreamOf(Opened));
+    CHECK(upstreamOf(B.steer(at(20ms), following(Port, Mark, 1, 100))) ==
+          upstreamOf(Opened));
+  }
+}
+
+TEST_CASE("services never mix") {
+  PacketBalancer B = started();
+  for (std::uint16_t Port = 1; Port < 100; ++Port) {
+    CHECK(upstreamOf(B.steer(at(1ms), opening(Port))) <= 4);
+    CHECK(upstreamOf(B.steer(at(1ms), opening(Port, 0, ArchiveAt))) >= 11);
+  }
+  // A cookie of the archive on the index's address, and the reverse.
+  CHECK(dropReason(B.steer(at(2ms), following(7, 11, 1))) ==
+        ErrorKind::ForgedCookie);
+  CHECK(dropReason(B.steer(at(2ms), following(7, 1, 1, 0, ArchiveAt))) ==
+        ErrorKind::ForgedCookie);
+  CHECK(
+      B.counters().Errors_[static_cast<std::size_t>(ErrorKind::ForgedCookie)] ==
+      2);
+}
+
+TEST_CASE("what is no caller's packet goes nowhere") {
+  PacketBalancer B = started();
+  Packet P = opening(1);
+  P.Acknowledges_ = true;
+  P.Cookie_ = 1;
+  CHECK(dropReason(B.steer(at(1ms), P)) == ErrorKind::NotFromCaller);
+  CHECK(dropReason(B.steer(at(1ms), following(1, 99, 1))) ==
+        ErrorKind::UnknownCookie);
+  CHECK(dropReason(B.steer(at(1ms), following(1, 0, 1))) ==
+        ErrorKind::UnknownCookie);
+}
+
+TEST_CASE("a copy of an opening packet goes to another upstream") {
+  PacketBalancer B = started();
+  for (std::uint16_t Port = 1; Port < 100; ++Port) {
+    std::uint64_t First = upstreamOf(B.steer(at(0ms), opening(Port)));
+    std::uint64_t Second = upstreamOf(B.steer(at(200ms), opening(Port, 1)));
+    CHECK(First != Second);
+    CHECK(Second != 0);
+    // Answered: an upstream that is new to the flow is not held against it.
+    Packet P = following(Port, static_cast<Cookie>(Second), 1);
+    CHECK(upstreamOf(B.steer(at(210ms), P)) == Second);
+  }
+}
+
+TEST_CASE("an upstream that answers no opening is ejected, but not all are") {
+  PacketBalancer B = started();
+  std::map<std::uint64_t, int> Got;
+  for (std::uint16_t Port = 1; Port < 200; ++Port) {
+    std::uint64_t Which = upstreamOf(B.steer(at(0ms), opening(Port)));
+    ++Got[Which];
+    if (Which == 1)
+      B.steer(at(200ms), opening(Port, 1));
+    else
+      B.steer(at(5ms), following(Port, static_cast<Cookie>(Which), 1));
+  }
+  CHECK(Got[1] < Got[2] / 2);
+  for (std::uint16_t Port = 300; Port < 400; ++Port)
+    B.steer(at(300ms), opening(Port, 1)); // nobody answers any more
+  CHECK(upstreamOf(B.steer(at(400ms), opening(900))) != 0);
+}
+
+TEST_CASE("a draining upstream keeps its flows and gets no new ones") {
+  PacketBalancer B = started();
+  B.applyUpstreams(at(10ms), {up(1, Index, true)});
+  for (std::uint16_t Port = 1; Port < 100; ++Port)
+    CHECK(upstreamOf(B.steer(at(11ms), opening(Port))) != 1);
+  CHECK(upstreamOf(B.steer(at(11ms), following(1000, 1, 1))) == 1);
+}
+
+TEST_CASE("a gone upstream keeps its flows for a flow's lifetime and is then "
+          "forgotten") {
+  PacketBalancer B = started();
+  B.applyUpstreams(at(10ms), {gone(1)});
+  for (std::uint16_t Port = 1; Port < 100; ++Port)
+    CHECK(upstreamOf(B.steer(at(11ms), opening(Port))) != 1);
+  CHECK(upstreamOf(B.steer(at(11ms), following(1000, 1, 1))) == 1);
+  for (auto Time = 0ms; Time < 70s; Time += 250ms)
+    B.tick(at(Time));
+  CHECK(dropReason(B.steer(at(70s), following(1000, 1, 1))) ==
+        ErrorKind::UnknownCookie);
+  // The row is used again by another upstream.
+  B.applyUpstreams(at(70s), {up(5, Archive)});
+  CHECK(upstreamOf(B.steer(at(70s), following(1, 5, 1, 0, ArchiveAt))) == 5);
+  CHECK(dropReason(B.steer(at(70s), following(1, 5, 1))) ==
+        ErrorKind::ForgedCookie);
+}
+
+TEST_CASE("an upstream that is missing after an outage has two seconds") {
+  PacketBalancer B = started();
+  auto Takes = [&](std::chrono::milliseconds Time) {
+    for (std::uint16_t Port = 1; Port < 100; ++Port)
+      if (upstreamOf(B.steer(at(Time), opening(Port))) == 1)
+        return true;
+    return false;
+  };
+  B.applyUpstreams(at(0ms), {gone(1), gone(2)}, true);
+  CHECK(Takes(1500ms));
+  B.applyUpstreams(at(1600ms), {up(2, Index)});
+  for (auto Time = 250ms; Time < 2500ms; Time += 250ms)
+    B.tick(at(Time));
+  CHECK_FALSE(Takes(2500ms));
+  CHECK(upstreamOf(B.steer(at(2500ms), following(1000, 2, 1))) == 2);
+  PacketStatus S = B.status(at(2500ms));
+  for (const SteeredUpstream &U : S.Upstreams_)
+    CHECK(U.NotChosen_ ==
+          std::string_view(raw(U.Incarnation_) == 1 ? "gone" : ""));
+}
+
+TEST_CASE("an address taken over by another service's upstream is another "
+          "upstream") {
+  PacketBalancer B = started();
+  B.applyUpstreams(at(10ms), {gone(1), up(21, Archive, false, 0x0a000001)});
+  Verdict Old = B.steer(at(11ms), following(1, 1, 1));
+  REQUIRE(forwarded(Old));
+  CHECK(raw(forwarded(Old)->Upstream_) == 1); // silent at the new one
+  CHECK(dropReason(B.steer(at(11ms), following(1, 21, 1))) ==
+        ErrorKind::ForgedCookie);
+}
+
+TEST_CASE("of two upstreams with one cookie the earlier one keeps it") {
+  PacketBalancer B = started();
+  std::uint64_t Twin = (std::uint64_t{7} << 32) | 1;
+  B.applyUpstreams(at(1ms), {up(Twin, Index)});
+  for (std::uint16_t Port = 1; Port < 200; ++Port)
+    CHECK(upstreamOf(B.steer(at(2ms), opening(Port))) != Twin);
+  CHECK(upstreamOf(B.steer(at(2ms), following(1, 1, 1))) == 1);
+  B.applyUpstreams(at(3ms), {gone(Twin)}); // ends without harm to the other
+  CHECK(upstreamOf(B.steer(at(4ms), following(1, 1, 1))) == 1);
+}
+
+TEST_CASE("an unknown address is reset only on fresh knowledge") {
+  PacketBalancer B = started();
+  const Endpoint Nowhere = Endpoint::v4(0xc6120009, 1);
+  Packet P = following(1, 1, 5000, 0, Nowhere);
+  Verdict V = B.steer(at(1000ms), P);
+  const auto *Reset = std::get_if<ResetFlow>(&V);
+  REQUIRE(Reset);
+  CHECK(Reset->Caller_ == P.Caller_);
+  CHECK(Reset->Service_ == Nowhere);
+  CHECK(Reset->Sequence_ == 5000);
+  CHECK(dropReason(B.steer(at(3000ms), P)) == ErrorKind::TableNotFresh);
+  B.confirm(at(2900ms));
+  P.Resets_ = true; // a reset is never answered with one
+  CHECK(std::holds_alternative<Dropped>(B.steer(at(3000ms), P)));
+}
+
+TEST_CASE("before a routing table is known nothing is reset") {
+  PacketBalancer B = PacketBalancerBuilder().build();
+  CHECK_FALSE(B.ready());
+  CHECK(dropReason(B.steer(at(1ms), opening(1))) == ErrorKind::TableNotFresh);
+  B.setRouting(at(1ms), table(1, {{IndexAt, Index}}));
+  CHECK_FALSE(B.ready());
+  B.applyUpstreams(at(1ms), {});
+  CHECK(B.ready());
+  CHECK(dropReason(B.steer(at(1ms), opening(1))) == ErrorKind::NoneLeft);
+}
+
+TEST_CASE("a routing table never gives way to an older one") {
+  PacketBalancer B = started();
+  B.setRouting(at(1ms), table(5, {{IndexAt, Archive}}));
+  B.setRouting(at(2ms), table(4, {{IndexAt, Index}}));
+  CHECK(B.status(at(2ms)).RoutingVersion_ == 5);
+  CHECK(upstreamOf(B.steer(at(2ms), opening(1))) >= 11);
+  // Flows that the older table placed stay where they are.
+  CHECK(upstreamOf(B.steer(at(2ms), following(1, 3, 1))) == 3);
+}
+
+TEST_CASE("after a pause the process trusts nothing that it had learnt") {
+  PacketBalancer B = started();
+  B.tick(at(250ms));
+  B.tick(at(500ms));
+  B.tick(at(5000ms)); // 4.5 s asleep
+  CHECK(B.counters().LateWakes_ == 1);
+  const Endpoint Nowhere = Endpoint::v4(0xc6120009, 1);
+  CHECK(dropReason(B.steer(at(5001ms), opening(1, 0, Nowhere))) ==
+        ErrorKind::TableNotFresh);
+}
+
+TEST_CASE("shares of an address are kept, and copies agree on the service") {
+  auto Table = std::make_shared<RoutingTable>();
+  Table->Version_ = 2;
+  Table->Addresses_[IndexAt] = {{Index, 90}, {Archive, 10}};
+  PacketBalancer B = started();
+  B.setRouting(at(1ms), Table);
+  int OfArchive = 0;
+  for (std::uint16_t Port = 1; Port <= 4000; ++Port) {
+    bool First = upstreamOf(B.steer(at(2ms), opening(Port))) >= 11;
+    bool Copy = upstreamOf(B.steer(at(202ms), opening(Port, 1))) >= 11;
+    CHECK(First == Copy);
+    OfArchive += First ? 1 : 0;
+  }
+  CHECK(OfArchive > 300);
+  CHECK(OfArchive < 500);
+}
+
+TEST_CASE("counts of flows and requests return to zero whatever happens") {
+  rc::check([] {
+    PacketBalancer B = started();
+    std::map<std::uint16_t, Cookie> Marks;
+    auto Now = 0ms;
+    for (int Step = 0; Step < 150; ++Step) {
+      Now += std::chrono::milliseconds(*rc::gen::inRange(0, 80));
+      auto Port = *rc::gen::inRange<std::uint16_t>(1, 12);
+      auto Id = *rc::gen::inRange<std::uint64_t>(1, 7);
+      switch (*rc::gen::inRange(0, 7)) {
+      case 0:
+      case 1: {
+        auto Copy = *rc::gen::inRange<std::uint32_t>(0, 3);
+        Verdict V = B.steer(at(Now), opening(Port, Copy));
+        if (const Forward *F = forwarded(V))
+          Marks[Port] = F->Cookie_;
+        break;
+      }
+      case 2:
+      case 3: {
+        Packet P =
+            following(Port, Marks[Port], *rc::gen::inRange<std::uint32_t>(0, 5),
+                      *rc::gen::inRange<std::uint16_t>(0, 2));
+        P.Finishes_ = *rc::gen::inRange(0, 4) == 0;
+        P.Resets_ = *rc::gen::inRange(0, 6) == 0;
+        B.steer(at(Now), P);
+        break;
+      }
+      case 4:
+        B.applyUpstreams(at(Now), {up(Id, Index, Id % 2 == 0)});
+        break;
+      case 5:
+        B.applyUpstreams(at(Now), {gone(Id)}, *rc::gen::arbitrary<bool>());
+        break;
+      case 6:
+        B.tick(at(Now));
+        break;
+      }
+    }
+    for (auto Time = Now; Time < Now + 130s; Time += 250ms)
+      B.tick(at(Time));
+    PacketStatus S = B.status(at(Now + 130s));
+    RC_ASSERT(S.Flows_ == 0U);
+    for (const SteeredUpstream &U : S.Upstreams_) {
+      RC_ASSERT(U.Row_.OwnFlows_ == 0U);
+      RC_ASSERT(U.Row_.InFlight_ == 0U);
+    }
+  });
+}
--- /dev/null
+++ b/test/published-test.cc
@@ -0,0 +1,149 @@
+#include "published.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+#include <sodium.h>
+
+using namespace thymewall;
+using namespace thymewall::platform;
+using Json = nlohmann::json;
+
+namespace {
+
+const MonoTime Now{std::chrono::seconds(50)};
+
+std::string base64(const std::string &Text) {
+  std::string Result(
+      sodium_base64_encoded_len(Text.size(), sodium_base64_VARIANT_ORIGINAL),
+      '\0');
+  sodium_bin2base64(Result.data(), Result.size(),
+                    reinterpret_cast<const unsigned char *>(Text.data()),
+                    Text.size(), sodium_base64_VARIANT_ORIGINAL);
+  Result.resize(Result.find('\0'));
+  return Result;
+}
+
+Json item(const std::string &Key, const Json &Value, Revision At) {
+  return {{"key-file", Key},
+          {"val", base64(Value.dump())},
+          {"revision", At},
+          {"created", At},
+          {"lease-id", 0}};
+}
+
+Json upstream(const std::string &State = "ready") {
+  return {{"backend", "index"},     {"address", "10.128.0.9:8080"},
+          {"zone", "ams-hall-a"},   {"version", "v1"},
+          {"capacity", 3},          {"state", State},
+          {"warmup-left-ms", 1500}, {"call-seq", 4}};
+}
+
+Json configuration() {
+  return Json::parse(R"({"version":7,"routes":[
+    {"name":"a","hostname":"198.18.0.1","path-prefix":"/8443/","type":"idempotent",
+     "split":[{"backend":"index","weight":90},{"backend":"archive","weight":10},
+              {"backend":"old","weight":0}]},
+    {"name":"b","hostname":"198.18.0.2","path-prefix":"/8080/","type":"download",
+     "backend":"archive","max-attempts":2}],
+    "backends":[{"name":"index","health-path":"/health"},{"name":"archive"}],
+    "limits":{"idle-timeout-ms":15000}})");
+}
+
+StoreAnswer decode(const Json &Root) {
+  std::string Reason;
+  auto Answer = decodeStoreAnswer(Root.dump(), Now, Reason);
+  REQUIRE_MESSAGE(Answer, Reason);
+  return *Answer;
+}
+
+} // namespace
+
+TEST_CASE("a page of items") {
+  StoreAnswer A = decode({{"items",
+                           {item("op/config", configuration(), 12),
+                            item("servers/i-7f3a91c2", upstream(), 14),
+                            item("other/key", "x", 15)}},
+                          {"has-more", true},
+                          {"store-revision", 15}});
+  CHECK(A.More_);
+  CHECK(A.StoreRevision_ == 15);
+  CHECK(A.LastKey_ == "other/key");
+  CHECK(A.Refused_.empty());
+  REQUIRE(A.Changes_.size() == 1);
+  const UpstreamEntry &E = *A.Changes_[0].Entry_;
+  CHECK(E.Incarnation_ == Incarnation{0x7f3a91c2});
+  CHECK(E.At_ == parseEndpoint("10.128.0.9:8080"));
+  CHECK(E.DataHall_ == "ams-hall-a");
+  CHECK(E.Slots_ == 3);
+  CHECK_FALSE(E.Draining_);
+  CHECK(E.WarmAt_ == Now + std::chrono::milliseconds(1500));
+  CHECK(A.Changes_[0].At_ == 14);
+}
+
+TEST_CASE("the operators' document") {
+  StoreAnswer A = decode({{"items", {item("op/config", configuration(), 12)}},
+                          {"has-more", false},
+                          {"store-revision", 15}});
+  REQUIRE(A.Routing_);
+  CHECK(A.Routing_->Version_ == 7);
+  CHECK(A.Routing_->IdleLimit_ == std::chrono::seconds(15));
+  const auto *Split = A.Routing_->find(parseEndpoint("198.18.0.1:8443"));
+  REQUIRE(Split);
+  REQUIRE(Split->size() == 2); // no share without weight
+  CHECK((*Split)[0].Weight_ == 90);
+  CHECK(A.Routing_->nameOf((*Split)[1].Service_) == "archive");
+  CHECK(A.Routing_->find(parseEndpoint("198.18.0.2:8080")));
+  CHECK_FALSE(A.Routing_->find(parseEndpoint("198.18.0.2:8443")));
+}
+
+TEST_CASE("events of a watch") {
+  Json Gone = {
+      {"key-file", "servers/i-ab"}, {"revision", 413}, {"is-gone", true}};
+  StoreAnswer A = decode(
+      {{"events", {item("servers/i-cd", upstream("draining"), 412), Gone}},
+       {"store-revision", 413}});
+  REQUIRE(A.Changes_.size() == 2);
+  CHECK(A.Changes_[0].Entry_->Draining_);
+  CHECK(A.Changes_[1].Incarnation_ == Incarnation{0xab});
+  CHECK_FALSE(A.Changes_[1].Entry_);
+}
+
+TEST_CASE("a bad item is left out by name and the others are taken") {
+  Json NoAddress = upstream();
+  NoAddress["address"] = "nowhere";
+  Json BadConfiguration = configuration();
+  BadConfiguration["routes"][0]["path-prefix"] = "8443";
+  Json NotBase64 = item("servers/i-4", upstream(), 4);
+  NotBase64["val"] = "***";
+  StoreAnswer A = decode({{"items",
+                           {item("servers/i-1", NoAddress, 1),
+                            item("servers/i-xyz", upstream(), 2),
+                            item("op/config", BadConfiguration, 3), NotBase64,
+                            item("servers/i-5", upstream(), 5)}},
+                          {"store-revision", 5}});
+  CHECK(A.Refused_.size() == 4);
+  CHECK(A.Refused_[0].find("servers/i-1: ") == 0);
+  CHECK_FALSE(A.Routing_);
+  REQUIRE(A.Changes_.size() == 1);
+  CHECK(A.Changes_[0].Incarnation_ == Incarnation{5});
+}
+
+TEST_CASE("damaged answers never do more than fail") {
+  Json Root = {{"items",
+                {item("op/config", configuration(), 12),
+                 item("servers/i-7f3a91c2", upstream(), 14)}},
+               {"has-more", false},
+               {"store-revision", 15}};
+  std::string Good = Root.dump();
+  rc::check([&] {
+    std::string Text = Good;
+    auto Cut = *rc::gen::inRange<std::size_t>(0, Text.size());
+    Text[Cut] = *rc::gen::arbitrary<char>();
+    if (*rc::gen::arbitrary<bool>())
+      Text.resize(Cut);
+    std::string Reason;
+    auto Answer = decodeStoreAnswer(Text, Now, Reason);
+    RC_ASSERT(Answer.has_value() || !Reason.empty());
+  });
+}
--- /dev/null
+++ b/test/upstream-list-test.cc
@@ -0,0 +1,135 @@
+#include "thymewall/upstream-list.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace thymewall;
+
+namespace {
+
+UpstreamEntry entry(std::uint64_t Id, std::uint32_t Slots = 1) {
+  UpstreamEntry E;
+  E.Incarnation_ = Incarnation{Id};
+  E.Service_ = ServiceId{1};
+  E.At_ = Endpoint::v4(static_cast<std::uint32_t>(Id), 9000);
+  E.Slots_ = Slots;
+  return E;
+}
+
+UpstreamChange put(std::uint64_t Id, Revision At, std::uint32_t Slots = 1) {
+  return {Incarnation{Id}, At, entry(Id, Slots)};
+}
+
+UpstreamChange gone(std::uint64_t Id, Revision At) {
+  return {Incarnation{Id}, At, std::nullopt};
+}
+
+bool apply(UpstreamList &List, const UpstreamBatch &Batch) {
+  std::vector<UpstreamChange> Ignored;
+  return List.apply(Batch, Ignored);
+}
+
+/// What a list holds, as identifiers and slots.
+std::map<std::uint64_t, std::uint32_t> contents(const UpstreamList &List) {
+  std::map<std::uint64_t, std::uint32_t> Result;
+  for (const UpstreamChange &C : List.since(0).Changes_)
+    if (C.Entry_)
+      Result[raw(C.Incarnation_)] = C.Entry_->Slots_;
+  return Result;
+}
+
+} // namespace
+
+TEST_CASE("a batch that starts after what is known is a gap") {
+  UpstreamList List;
+  REQUIRE(apply(List, {true, 0, 10, {put(1, 4), put(2, 9)}}));
+  CHECK_FALSE(apply(List, {false, 12, 14, {put(3, 13)}}));
+  CHECK(List.through() == 10);
+  CHECK(List.size() == 2);
+  CHECK(apply(List, {false, 8, 12, {put(2, 9), gone(1, 11)}}));
+  CHECK(contents(List) == std::map<std::uint64_t, std::uint32_t>{{2, 1}});
+}
+
+TEST_CASE("an older whole list brings nothing back") {
+  UpstreamList List;
+  REQUIRE(apply(List, {true, 0, 10, {put(1, 4), put(2, 9)}}));
+  REQUIRE(apply(List, {false, 10, 11, {gone(1, 11)}}));
+  CHECK(apply(List, {true, 0, 10, {put(1, 4), put(2, 9)}}));
+  CHECK(List.size() == 1);
+  CHECK(List.through() == 11);
+}
+
+TEST_CASE("what a whole list lacks is gone, and is told") {
+  UpstreamList List;
+  REQUIRE(apply(List, {true, 0, 10, {put(1, 4), put(2, 9)}}));
+  std::vector<UpstreamChange> Applied;
+  REQUIRE(List.apply({true, 0, 20, {put(2, 9), put(3, 15)}}, Applied));
+  REQUIRE(Applied.size() == 2);
+  CHECK(Applied[0].Incarnation_ == Incarnation{3});
+  CHECK(Applied[1].Incarnation_ == Incarnation{1});
+  CHECK_FALSE(Applied[1].Entry_);
+}
+
+TEST_CASE("an entry listed after the list's own revision stays") {
+  // Pages are no snapshot: a later page may hold what changed after the first.
+  UpstreamList List;
+  REQUIRE(apply(List, {true, 0, 10, {put(1, 4), put(2, 12)}}));
+  REQUIRE(apply(List, {false, 10, 12, {put(2, 12)}}));
+  CHECK(List.size() == 2);
+}
+
+TEST_CASE("a peer that is behind is told of changes, or of all when ends are "
+          "forgotten") {
+  UpstreamList List;
+  REQUIRE(apply(List, {true, 0, 10, {put(1, 4), put(2, 9)}}));
+  REQUIRE(apply(List, {false, 10, 13, {gone(1, 11), put(3, 12)}}));
+  UpstreamBatch Delta = List.since(10);
+  CHECK_FALSE(Delta.Whole_);
+  CHECK(Delta.Changes_.size() == 2);
+  CHECK(List.since(9).Whole_); // ends before the list are not known
+  for (Revision R = 14; R < 20 + 2 * UpstreamList::KeptEnds; R += 2)
+    REQUIRE(apply(List, {false, R - 1, R + 1, {put(R, R), gone(R, R + 1)}}));
+  CHECK(List.since(13).Whole_);
+  CHECK_FALSE(List.since(List.through() - 4).Whole_);
+}
+
+TEST_CASE("lists that take overlapping parts of one log in any order, by any "
+          "way, end alike") {
+  rc::check([] {
+    // The log of a service: upstreams come, change and go.
+    std::vector<UpstreamChange> Log;
+    std::map<std::uint64_t, std::uint32_t> Truth;
+    auto Length = *rc::gen::inRange<std::size_t>(1, 60);
+    for (Revision R = 1; R <= Length; ++R) {
+      auto Id = *rc::gen::inRange<std::uint64_t>(1, 9);
+      auto Slots = *rc::gen::inRange<std::uint32_t>(0, 4);
+      Log.push_back(Slots == 0 ? gone(Id, R) : put(Id, R, Slots));
+      Slots == 0 ? static_cast<void>(Truth.erase(Id))
+                 : static_cast<void>(Truth[Id] = Slots);
+    }
+    auto Part = [&](Revision After, Revision Through) {
+      UpstreamBatch Batch{false, After, Through, {}};
+      for (Revision R = After + 1; R <= Through; ++R)
+        Batch.Changes_.push_back(Log[R - 1]);
+      return Batch;
+    };
+    std::vector<UpstreamList> Lists(3);
+    for (int Step = 0; Step < 40; ++Step) {
+      UpstreamList &To = Lists[*rc::gen::inRange<std::size_t>(0, 3)];
+      if (*rc::gen::arbitrary<bool>()) {
+        const UpstreamList &From = Lists[*rc::gen::inRange<std::size_t>(0, 3)];
+        apply(To, From.since(To.through()));
+        RC_ASSERT(To.through() >= From.through());
+        continue;
+      }
+      auto After = *rc::gen::inRange<Revision>(0, Length);
+      auto Through = *rc::gen::inRange<Revision>(After, Length + 1);
+      RC_ASSERT(apply(To, Part(After, Through)) == (After <= To.through()));
+    }
+    for (UpstreamList &List : Lists) {
+      apply(List, Part(List.through(), Length));
+      RC_ASSERT(List.through() == Length);
+      RC_ASSERT(contents(List) == Truth);
+    }
+  });
+}
