Structured log lines on standard output, metrics and status pages of the packet balancer

Cause: an engineer on call has only logs and metrics; lines went to standard error as key=value and could block. Ruled out: a line a packet (a flow's later packets follow its cookie, nothing is decided); console sinks of Boost.Log (they block). Change: JSON lines, held and written as far as the output takes them, 100 a second with a burst of 300 and the rest counted; lines for openings, copies, followed flows, refusals, beliefs, routing tables, the configuration service lost and back, start, ready, reload, stop; /metrics, /status, /histograms on the metrics port.

--- a/include/thymewall/intent-reader.h
+++ b/include/thymewall/intent-reader.h
@@ -31,6 +31,7 @@
     Failed       ///< No answer, or none that could be read.
   };
   Outcome Outcome_ = Outcome::Failed;
+  std::string Reason_;      ///< Why it was not done, for logs.
   RoutingTablePtr Routing_; ///< Null when it has not changed.
   UpstreamBatch Batch_;
 };
--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -45,6 +45,7 @@
   enum class Kind : std::uint8_t {
     Opened,    ///< First opening packet, sent to an upstream.
     OpenMoved, ///< A copy of the opening packet, sent to another one.
+    Followed,  ///< First data here of a flow that another balancer opened.
     Refused    ///< Reset or dropped; `Why_` tells.
   };
   Kind Kind_ = Kind::Opened;
@@ -54,6 +55,7 @@
   ErrorKind Why_ = ErrorKind::None;
   std::uint32_t Candidates_ = 0; ///< Upstreams that could take new flows.
   Version RoutingVersion_ = 0;
+  bool Known_ = false;    ///< Anything was ever confirmed.
   Micros KnowledgeAge_{}; ///< Since what is known was last confirmed.
 };
 using DecisionHook = std::function<void(const Decision &)>;
@@ -68,6 +70,14 @@
 };
 using BeliefHook = std::function<void(const Belief &)>;
 
+/// What a delay was measured of.
+enum class DelayClass : std::uint8_t {
+  Open,   ///< From the opening packet to the caller's acknowledgement.
+  Request ///< From a request's data to the first acknowledged answer.
+};
+using PacketDelayHook =
+    std::function<void(ServiceId Service, DelayClass Class, Micros Delay)>;
+
 /// Totals since the start of the process.
 struct PacketCounters {
   std::array<std::uint64_t, static_cast<std::size_t>(ErrorKind::Count)>
@@ -75,6 +85,7 @@
   std::uint64_t Packets_ = 0;
   std::uint64_t Opened_ = 0;
   std::uint64_t OpenMoved_ = 0;
+  std::uint64_t Followed_ = 0;
   std::uint64_t Resets_ = 0;
   std::uint64_t LateWakes_ = 0;
 };
@@ -102,6 +113,7 @@
   Chooser Chooser_ = chooseTwoInProgress;
   DecisionHook OnDecision_;
   BeliefHook OnBelief_;
+  PacketDelayHook OnDelay_;
   /// An unknown address is reset only if all that was published this long ago
   /// is known; from the time within which a routing table must be in force.
   Micros ResetWhenKnown_ = std::chrono::milliseconds(2500);
@@ -152,6 +164,7 @@
   PacketBalancerBuilder &chooser(Chooser Value);
   PacketBalancerBuilder &onDecision(DecisionHook Value);
   PacketBalancerBuilder &onBelief(BeliefHook Value);
+  PacketBalancerBuilder &onDelay(PacketDelayHook Value);
   PacketBalancerBuilder &resetWhenKnown(Micros Value);
   PacketBalancerBuilder &flowLimit(Micros Value);
   PacketBalancer build() const;
--- a/src/log.cc
+++ b/src/log.cc
@@ -1,53 +1,173 @@
 #include "thymewall/log.h"
 
-#include <boost/log/attributes/constant.hpp>
+#include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/support/date_time.hpp>
-#include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iostream>
+#include <boost/make_shared.hpp>
+#include <cstdio>
+#include <date/date.h>
+#include <nlohmann/json.hpp>
+#include <poll.h>
+#include <unistd.h>
 
 namespace thymewall {
 
 namespace {
 
-/// Quotes a value that would not stand as one word.
-std::string word(const std::string &Value) {
-  if (!Value.empty() && Value.find_first_of(" \"\n=") == std::string::npos)
-    return Value;
-  std::string Quoted = "\"";
-  for (char C : Value) {
-    if (C == '"' || C == '\\')
-      Quoted += '\\';
-    Quoted += C == '\n' ? ' ' : C;
+namespace sinks = boost::log::sinks;
+
+/// Held for a reader that is slow; a few seconds of the budget.
+constexpr std::size_t MaxHeld = 64 * 1024;
+/// A pipe that reports room takes this much at once without blocking.
+constexpr std::size_t MaxWrite = 4096;
+
+MonoTime now() {
+  auto Mono = std::chrono::steady_clock::now().time_since_epoch();
+  return MonoTime(std::chrono::duration_cast<Micros>(Mono));
+}
+
+WallTime wallNow() {
+  auto Wall = std::chrono::system_clock::now().time_since_epoch();
+  return WallTime(std::chrono::duration_cast<Micros>(Wall));
+}
+
+/// Holds whole lines and writes them as far as standard output takes them.
+class Writer {
+public:
+  void hold(const std::string &Line) {
+    if (Held_.size() + Line.size() + 1 > MaxHeld) {
+      ++Dropped_;
+      return;
+    }
+    Held_ += Line;
+    Held_ += '\n';
+  }
+
+  void write() {
+    while (!Held_.empty()) {
+      pollfd Output{STDOUT_FILENO, POLLOUT, 0};
+      if (poll(&Output, 1, 0) != 1 || (Output.revents & POLLOUT) == 0)
+        return;
+      ssize_t Written = ::write(STDOUT_FILENO, Held_.data(),
+                                std::min(Held_.size(), MaxWrite));
+      if (Written <= 0)
+        return;
+      Held_.erase(0, static_cast<std::size_t>(Written));
+    }
   }
-  return Quoted + "\"";
+
+  std::uint64_t dropped() const { return Dropped_; }
+
+private:
+  std::string Held_;
+  std::uint64_t Dropped_ = 0;
+};
+
+/// The end of Boost.Log's pipeline: hands each line to the writer.
+class LineBackend
+    : public sinks::basic_formatted_sink_backend<char,
+                                                 sinks::concurrent_feeding> {
+public:
+  explicit LineBackend(Writer &Output) : Output_(Output) {}
+  void consume(const boost::log::record_view &, const string_type &Line) {
+    Output_.hold(Line);
+  }
+
+private:
+  Writer &Output_;
+};
+
+/// Everything that belongs to the one log of a process. All lines come from the
+/// thread of the process's event loop.
+struct ProcessLog {
+  std::string Process_;
+  Writer Writer_;
+  LogBudget Budget_;
+  boost::log::sources::logger Logger_;
+  std::uint64_t DroppedTotal_ = 0;
+  std::uint64_t WriterDroppedTold_ = 0;
+};
+
+ProcessLog &processLog() {
+  static ProcessLog Log;
+  return Log;
+}
+
+void line(std::string_view Event, const LogFields &Fields) {
+  ProcessLog &Log = processLog();
+  BOOST_LOG(Log.Logger_) << formatLogLine(wallNow(), Log.Process_, Event,
+                                          Fields);
 }
 
 } // namespace
 
+std::string formatLogLine(WallTime When, std::string_view Process,
+                          std::string_view Event, const LogFields &Fields) {
+  std::chrono::time_point<std::chrono::system_clock, Micros> Wall(
+      When.time_since_epoch());
+  nlohmann::ordered_json Line = {{"time", date::format("%FT%TZ", Wall)},
+                                 {"process", Process},
+                                 {"event", Event}};
+  for (const auto &[Key, Value] : Fields)
+    std::visit(
+        [&, Key = Key](const auto &Typed) { Line[std::string(Key)] = Typed; },
+        Value.get());
+  // Names may come from outside: bytes that are no text are replaced.
+  return Line.dump(-1, ' ', false,
+                   nlohmann::ordered_json::error_handler_t::replace);
+}
+
+bool LogBudget::take(MonoTime Now) {
+  double Seconds = std::chrono::duration<double>(Now - Last_).count();
+  Last_ = Now;
+  Left_ = std::min<double>(Left_ + Seconds * LinesPerSecond, Burst);
+  if (Left_ < 1) {
+    ++Dropped_;
+    return false;
+  }
+  Left_ -= 1;
+  return true;
+}
+
+std::uint64_t LogBudget::takeDropped() {
+  return std::exchange(Dropped_, std::uint64_t{0});
+}
+
 void startLog(const std::string &Process) {
-  namespace expr = boost::log::expressions;
-  boost::log::add_common_attributes();
-  boost::log::core::get()->add_global_attribute(
-      "Process", boost::log::attributes::constant<std::string>(Process));
-  auto Format = expr::stream
-                << expr::format_date_time<boost::posix_time::ptime>(
-                       "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-                << " process=" << expr::attr<std::string>("Process") << " "
-                << expr::smessage;
-  boost::log::add_console_log(std::cerr, boost::log::keywords::format = Format,
-                              boost::log::keywords::auto_flush = true);
-}
-
-void logState(std::string_view State, const std::vector<LogField> &Fields) {
-  static boost::log::sources::logger Logger;
-  std::string Line = "state=" + std::string(State);
-  for (const LogField &F : Fields)
-    Line += " " + std::string(F.first) + "=" + word(F.second);
-  BOOST_LOG(Logger) << Line;
+  ProcessLog &Log = processLog();
+  Log.Process_ = Process;
+  auto Backend = boost::make_shared<LineBackend>(Log.Writer_);
+  using Frontend = sinks::unlocked_sink<LineBackend>;
+  auto Sink = boost::make_shared<Frontend>(Backend);
+  Sink->set_formatter(boost::log::expressions::stream
+                      << boost::log::expressions::smessage);
+  boost::log::core::get()->add_sink(Sink);
 }
 
+void logState(std::string_view Event, const LogFields &Fields) {
+  line(Event, Fields);
+  processLog().Writer_.write();
+}
+
+void logDecision(std::string_view Event, const LogFields &Fields) {
+  if (processLog().Budget_.take(now()))
+    line(Event, Fields);
+}
+
+void flushLog() {
+  ProcessLog &Log = processLog();
+  std::uint64_t Writer = Log.Writer_.dropped() - Log.WriterDroppedTold_;
+  std::uint64_t Dropped = Log.Budget_.takeDropped() + Writer;
+  Log.WriterDroppedTold_ += Writer;
+  Log.DroppedTotal_ += Dropped;
+  if (Dropped > 0)
+    line("log_lines_dropped", {{"count", Dropped}});
+  Log.Writer_.write();
+}
+
+std::uint64_t droppedLogLines() { return processLog().DroppedTotal_; }
+
 } // namespace thymewall
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -74,8 +74,12 @@
   std::uint32_t choose(ServiceId Service, FlowId Flow, std::uint32_t Copy,
                        std::uint32_t Avoid);
   const Eligible &eligible(ServiceState &State);
+  PacketFlowRow *place(FlowId Flow, std::uint32_t Index);
   void noteOpening(FlowId Flow, std::uint32_t Index);
-  void noteProgress(const Packet &P, FlowId Flow);
+  void noteProgress(const Packet &P, FlowId Flow, std::uint32_t Index);
+  PacketFlowRow *noteFollowed(const Packet &P, FlowId Flow,
+                              std::uint32_t Index);
+  void measure(const PacketFlowRow &Row, DelayClass Class) const;
   void setInProgress(PacketFlowRow &Row, bool InProgress);
   void endFlow(PacketFlowRow &Row);
   void countOut(const PacketFlowRow &Row);
@@ -200,7 +204,7 @@
   std::uint32_t Index = Known->second;
   if (!allowed(P.Service_, Details_[Index].Service_))
     return refuse(P, ErrorKind::ForgedCookie);
-  noteProgress(P, Flow);
+  noteProgress(P, Flow, Index);
   const UpstreamRow &Up = Upstreams_[Index];
   return Forward{Up.At_, Up.Incarnation_, P.Cookie_};
 }
@@ -219,7 +223,9 @@
                                     TickEvery);
 }
 
-void PacketBalancer::Impl::noteOpening(FlowId Flow, std::uint32_t Index) {
+/// A row for a flow that goes to an upstream from now on; null when the table
+/// is full: such a flow is served, but not counted.
+PacketFlowRow *PacketBalancer::Impl::place(FlowId Flow, std::uint32_t Index) {
   PacketFlowRow *Row = Flows_.find(Flow);
   if (Row)
     countOut(*Row);
@@ -228,24 +234,55 @@
   if (!Row)
     Row = Flows_.insert(Fresh, dueTick(Options_.FlowLimit_));
   if (!Row)
-    return; // the table is full: the flow is served, but not counted
+    return nullptr;
   Row->Upstream_ = Index;
   Row->Open_ = false;
   Row->InProgress_ = false;
   ++Upstreams_[Index].OwnFlows_;
-  setInProgress(*Row, true);
+  return Row;
+}
+
+void PacketBalancer::Impl::noteOpening(FlowId Flow, std::uint32_t Index) {
+  if (PacketFlowRow *Row = place(Flow, Index))
+    setInProgress(*Row, true);
+}
+
+/// Data of a flow that was opened by another balancer.
+PacketFlowRow *PacketBalancer::Impl::noteFollowed(const Packet &P, FlowId Flow,
+                                                  std::uint32_t Index) {
+  if (P.DataSize_ == 0 || P.Finishes_ || P.Resets_)
+    return nullptr;
+  ++Counters_.Followed_;
+  decide(Decision::Kind::Followed, P, Index, ErrorKind::None, 0);
+  PacketFlowRow *Row = place(Flow, Index);
+  if (!Row)
+    return nullptr;
+  Row->Open_ = true;
+  Row->Acknowledged_ = P.Acknowledged_;
+  return Row;
 }
 
 void PacketBalancer::Impl::setInProgress(PacketFlowRow &Row, bool InProgress) {
   if (Row.InProgress_ == InProgress)
     return;
   Row.InProgress_ = InProgress;
+  Row.Since_ = Now_;
   std::uint32_t &Count = Upstreams_[Row.Upstream_].InFlight_;
   Count = InProgress ? Count + 1 : Count - 1;
 }
 
-void PacketBalancer::Impl::noteProgress(const Packet &P, FlowId Flow) {
+void PacketBalancer::Impl::measure(const PacketFlowRow &Row,
+                                   DelayClass Class) const {
+  if (Options_.OnDelay_)
+    Options_.OnDelay_(Details_[Row.Upstream_].Service_, Class,
+                      Now_ - Row.Since_);
+}
+
+void PacketBalancer::Impl::noteProgress(const Packet &P, FlowId Flow,
+                                        std::uint32_t Index) {
   PacketFlowRow *Row = Flows_.find(Flow);
+  if (!Row)
+    Row = noteFollowed(P, Flow, Index);
   if (!Row)
     return;
   if (P.Finishes_ || P.Resets_)
@@ -253,7 +290,11 @@
   if (!Row->Open_) {
     Row->Open_ = true;
     Upstreams_.succeeded(Row->Upstream_);
+    measure(*Row, DelayClass::Open);
+    Row->Since_ = Now_; // its request comes right behind
   } else if (P.Acknowledged_ != Row->Acknowledged_) {
+    if (Row->InProgress_)
+      measure(*Row, DelayClass::Request);
     setInProgress(*Row, false);
   }
   Row->Acknowledged_ = P.Acknowledged_;
@@ -422,6 +463,7 @@
   D.Why_ = Why;
   D.Candidates_ = static_cast<std::uint32_t>(Candidates);
   D.RoutingVersion_ = Routing_ ? Routing_->Version_ : 0;
+  D.Known_ = KnownAsOf_ != MonoTime{};
   D.KnowledgeAge_ = Now_ - KnownAsOf_;
   Options_.OnDecision_(D);
 }
@@ -502,6 +544,10 @@
   Options_.FlowLimit_ = Value;
   return *this;
 }
+PacketBalancerBuilder &PacketBalancerBuilder::onDelay(PacketDelayHook Value) {
+  Options_.OnDelay_ = std::move(Value);
+  return *this;
+}
 PacketBalancer PacketBalancerBuilder::build() const {
   return PacketBalancer(Options_);
 }
--- a/src/packet-flow.h
+++ b/src/packet-flow.h
@@ -14,6 +14,7 @@
   using Key = FlowId;
 
   FlowId Flow_{};
+  MonoTime Since_{}; ///< When the opening or the request in progress was seen.
   std::uint32_t Upstream_ = 0; ///< Index into the upstream table.
   std::uint32_t Acknowledged_ = 0;
   bool Open_ = false;       ///< The caller has acknowledged the opening.
@@ -23,8 +24,8 @@
   Key key() const { return Flow_; }
   static std::uint64_t hash(const Key &K) { return raw(K); }
 };
-static_assert(sizeof(PacketFlowRow) == 40,
-              "a flow takes 40 bytes; see docs/CAPACITY.md");
+static_assert(sizeof(PacketFlowRow) == 48,
+              "a flow takes 48 bytes; see docs/CAPACITY.md");
 
 using PacketFlowTable = TimedTable<PacketFlowRow>;
 
--- /dev/null
+++ b/src/packet-log.cc
@@ -0,0 +1,113 @@
+#include "packet-log.h"
+
+#include "thymewall/log.h"
+
+#include <cstdio>
+
+namespace thymewall::detail {
+
+namespace {
+
+const char *eventOf(Decision::Kind Kind) {
+  switch (Kind) {
+  case Decision::Kind::Opened:
+    return "flow_opened";
+  case Decision::Kind::OpenMoved:
+    return "flow_open_moved";
+  case Decision::Kind::Followed:
+    return "flow_followed";
+  case Decision::Kind::Refused:
+    return "packet_refused";
+  }
+  return "";
+}
+
+const char *eventOf(Belief::Kind Kind) {
+  switch (Kind) {
+  case Belief::Kind::Listed:
+    return "upstream_listed";
+  case Belief::Kind::Draining:
+    return "upstream_draining";
+  case Belief::Kind::Lapsed:
+    return "upstream_lapsed";
+  case Belief::Kind::Gone:
+    return "upstream_gone";
+  case Belief::Kind::Ejected:
+    return "upstream_ejected";
+  }
+  return "";
+}
+
+const char *nameOf(IntentAnswer::Outcome Outcome) {
+  switch (Outcome) {
+  case IntentAnswer::Outcome::Done:
+    return "done";
+  case IntentAnswer::Outcome::HistoryGone:
+    return "history_gone";
+  case IntentAnswer::Outcome::Refused:
+    return "refused";
+  case IntentAnswer::Outcome::Failed:
+    return "failed";
+  }
+  return "";
+}
+
+std::int64_t millis(Micros Span) { return Span.count() / 1000; }
+
+} // namespace
+
+std::string formatIncarnation(Incarnation Which) {
+  char Text[17];
+  std::snprintf(Text, sizeof Text, "%llx",
+                static_cast<unsigned long long>(raw(Which)));
+  return Text;
+}
+
+void logDecisionOn(const Decision &D) {
+  LogFields Fields = {{"caller", formatEndpoint(D.Caller_)},
+                      {"address", formatEndpoint(D.Service_)}};
+  if (D.Kind_ == Decision::Kind::Refused) {
+    const ErrorRow &Row = errorRow(D.Why_);
+    Fields.emplace_back("reason", Row.Name_);
+    Fields.emplace_back("answer",
+                        Row.Answer_ == Answer::Reset ? "reset" : "none");
+  } else {
+    Fields.emplace_back("upstream", formatIncarnation(D.Upstream_));
+  }
+  if (D.Candidates_ != 0)
+    Fields.emplace_back("candidates", D.Candidates_);
+  Fields.emplace_back("routing_version", D.RoutingVersion_);
+  if (D.Known_)
+    Fields.emplace_back("knowledge_age_ms", millis(D.KnowledgeAge_));
+  logDecision(eventOf(D.Kind_), Fields);
+}
+
+void logBelief(const Belief &B) {
+  logDecision(eventOf(B.Kind_), {{"upstream", formatIncarnation(B.Upstream_)},
+                                 {"address", formatEndpoint(B.At_)},
+                                 {"revision", B.Revision_}});
+}
+
+void logRouting(const RoutingTable &Table) {
+  logDecision("routing_in_force", {{"version", Table.Version_},
+                                   {"addresses", Table.Addresses_.size()}});
+}
+
+void ServiceLog::answered(MonoTime Now, const IntentAnswer &Answer) {
+  bool Served = Answer.Outcome_ == IntentAnswer::Outcome::Done ||
+                Answer.Outcome_ == IntentAnswer::Outcome::HistoryGone;
+  if (!Served && !Lost_)
+    logState(
+        "configuration_service_lost",
+        {{"outcome", nameOf(Answer.Outcome_)}, {"reason", Answer.Reason_}});
+  if (!Served && !Lost_)
+    LostAt_ = Now;
+  if (Served && Lost_)
+    logState("configuration_service_back",
+             {{"after_ms", millis(Now - LostAt_)}});
+  if (Answer.Outcome_ == IntentAnswer::Outcome::HistoryGone)
+    logDecision("history_gone", {});
+  Lost_ = !Served;
+}
+
+} // namespace thymewall::detail
--- /dev/null
+++ b/src/packet-pages.cc
@@ -0,0 +1,114 @@
+#include "packet-pages.h"
+
+#include "packet-log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace thymewall::detail {
+
+namespace {
+
+using Json = nlohmann::json;
+using Number = std::pair<std::string, std::uint64_t>;
+
+std::vector<Number> numbers(const PacketReport &R) {
+  const PacketCounters &C = R.Counters_;
+  std::vector<Number> Result = {{"flows", R.Status_.Flows_},
+                                {"table_bytes", R.Status_.MemoryBytes_},
+                                {"packets", C.Packets_},
+                                {"opened", C.Opened_},
+                                {"open_moved", C.OpenMoved_},
+                                {"followed", C.Followed_},
+                                {"resets", C.Resets_},
+                                {"late_wakes", C.LateWakes_},
+                                {"malformed", R.Malformed_},
+                                {"heartbeats_sent", R.News_.HeartbeatsSent_},
+                                {"news_sent", R.News_.NewsSent_},
+                                {"news_taken", R.News_.NewsTaken_},
+                                {"news_gaps", R.News_.Gaps_},
+                                {"stale_claims", R.News_.StaleClaims_},
+                                {"peer_links", R.News_.Links_},
+                                {"peers", R.News_.Members_},
+                                {"service_calls", R.ServiceCalls_},
+                                {"service_failures", R.ServiceFailures_},
+                                {"reads_for_fleet", R.Reads_ ? 1U : 0U},
+                                {"log_lines_dropped", R.LogLinesDropped_}};
+  for (std::size_t I = 1; I < C.Errors_.size(); ++I)
+    if (C.Errors_[I] != 0)
+      Result.emplace_back(
+          "error_" + std::string(errorRow(static_cast<ErrorKind>(I)).Name_),
+          C.Errors_[I]);
+  return Result;
+}
+
+/// Age of what is known, in milliseconds; -1 when nothing is.
+std::int64_t knowledgeAgeMs(const PacketReport &R) {
+  if (R.Status_.KnownAsOf_ == MonoTime{})
+    return -1;
+  return (R.Now_ - R.Status_.KnownAsOf_).count() / 1000;
+}
+
+std::string metricsText(const PacketReport &R) {
+  std::string Text;
+  for (const Number &N : numbers(R))
+    Text += "thymewall_" + N.first + " " + std::to_string(N.second) + "\n";
+  Text += "thymewall_routing_version " +
+          std::to_string(R.Status_.RoutingVersion_) + "\n";
+  Text +=
+      "thymewall_knowledge_age_ms " + std::to_string(knowledgeAgeMs(R)) + "\n";
+  return Text + R.Delays_->prometheus("thymewall_delay_seconds");
+}
+
+Json upstreamJson(const PacketReport &R, const SteeredUpstream &U) {
+  std::string Service = R.Routing_ ? R.Routing_->nameOf(U.Service_)
+                                   : std::to_string(raw(U.Service_));
+  return {{"name", formatIncarnation(U.Incarnation_)},
+          {"address", formatEndpoint(U.Row_.At_)},
+          {"service", Service},
+          {"data_hall", U.DataHall_},
+          {"slots", U.Row_.Slots_},
+          {"own_flows", U.Row_.OwnFlows_},
+          {"in_flight", U.Row_.InFlight_},
+          {"chosen", U.NotChosen_.empty()},
+          {"why_not", U.NotChosen_}};
+}
+
+std::string statusText(const PacketReport &R) {
+  Json Upstreams = Json::array();
+  for (const SteeredUpstream &U : R.Status_.Upstreams_)
+    Upstreams.push_back(upstreamJson(R, U));
+  Json Peers = Json::array();
+  for (const PeerStatus &P : R.Peers_)
+    Peers.push_back({{"name", P.Peer_.Name_},
+                     {"data_hall", P.Peer_.DataHall_},
+                     {"control", formatEndpoint(P.Peer_.Control_)},
+                     {"linked", P.Linked_}});
+  Json Counters = Json::object();
+  for (const Number &N : numbers(R))
+    Counters[N.first] = N.second;
+  Json Page = {{"kind", "packet"},
+               {"name", R.Name_},
+               {"version", R.Status_.RoutingVersion_},
+               {"ready", R.Ready_},
+               {"stopping", R.Stopping_},
+               {"reads_for_fleet", R.Reads_},
+               {"knowledge_age_ms", knowledgeAgeMs(R)},
+               {"counters", std::move(Counters)},
+               {"upstreams", std::move(Upstreams)},
+               {"peers", std::move(Peers)}};
+  return Page.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace
+
+HttpPage packetPage(const PacketReport &R, const std::string &Path) {
+  if (Path == "/metrics")
+    return {200, "text/plain; version=0.0.4", metricsText(R)};
+  if (Path == "/status")
+    return {200, "application/json", statusText(R)};
+  if (Path == "/histograms")
+    return {200, "application/json", R.Delays_->json()};
+  return {404, "text/plain", ""};
+}
+
+} // namespace thymewall::detail
--- /dev/null
+++ b/src/packet-pages.h
@@ -0,0 +1,37 @@
+/// \file
+/// Status and metrics pages of a packet balancer.
+#ifndef THYMEWALL_SRC_PACKET_PAGES_H
+#define THYMEWALL_SRC_PACKET_PAGES_H
+
+#include "http-server.h"
+#include "thymewall/metrics.h"
+#include "thymewall/news.h"
+#include "thymewall/packet-balancer.h"
+
+namespace thymewall::detail {
+
+/// Everything that the pages show.
+struct PacketReport {
+  std::string Name_;
+  bool Ready_ = false;
+  bool Stopping_ = false;
+  MonoTime Now_{};
+  PacketStatus Status_;
+  PacketCounters Counters_;
+  NewsCounters News_;
+  std::vector<PeerStatus> Peers_;
+  RoutingTablePtr Routing_;
+  std::uint64_t Malformed_ = 0;
+  std::uint64_t ServiceCalls_ = 0;
+  std::uint64_t ServiceFailures_ = 0;
+  std::uint64_t LogLinesDropped_ = 0;
+  bool Reads_ = false; ///< Reads the configuration service for the fleet.
+  const DelayMetrics *Delays_ = nullptr;
+};
+
+/// "/metrics" in Prometheus text format, "/status" and "/histograms" as JSON.
+HttpPage packetPage(const PacketReport &R, const std::string &Path);
+
+} // namespace thymewall::detail
+
+#endif
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -1,6 +1,8 @@
 #include "packet-process.h"
 
 #include "http-server.h"
+#include "packet-log.h"
+#include "packet-pages.h"
 #include "peer-links.h"
 #include "settings-watch.h"
 #include "thymewall/log.h"
@@ -51,10 +53,17 @@
   return {{S.Name_, S.DataHall_, S.Control_, 0}, S.Seeds_};
 }
 
-PacketBalancer makeCore(const PacketSettings &S) {
+const char *nameOf(DelayClass Class) {
+  return Class == DelayClass::Open ? "open" : "request";
+}
+
+PacketBalancer makeCore(const PacketSettings &S, PacketDelayHook OnDelay) {
   return PacketBalancerBuilder()
       .resetWhenKnown(resetWhenKnown(S))
       .flowLimit(S.FlowLimit_)
+      .onDecision(logDecisionOn)
+      .onBelief(logBelief)
+      .onDelay(std::move(OnDelay))
       .build();
 }
 
@@ -77,7 +86,11 @@
   void review();
   void endWhenQuiet(MonoTime Now);
   void startCall(MonoTime Now);
-  HttpPage page(const std::string &Path);
+  HttpPage readinessPage(const std::string &Path);
+  void serveMetrics();
+  PacketReport report();
+  std::string tenant(ServiceId Id) const;
+  bool ready() const { return Core_.ready() && StopBy_ == MonoTime::max(); }
   void awaitSignal();
   void onReloadSignal();
   void startStop();
@@ -88,6 +101,8 @@
   PacketSettings Settings_;
   SettingsWatch Watch_;
   PlatformHooks Hooks_;
+  DelayMetrics Delays_;
+  RoutingTablePtr Routing_;
   PacketBalancer Core_;
   IntentReader Reader_;
   IntentCaller Call_;
@@ -95,11 +110,17 @@
   NewsExchange News_;
   UdpSocket Packets_;
   HttpServer Readiness_;
+  std::optional<HttpServer> Metrics_;
+  ServiceLog ServiceLog_;
   asio::steady_timer Timer_;
   asio::signal_set Signals_;
   MonoTime NextTick_{};
   MonoTime NextSettingsLook_{};
   MonoTime LastPacket_{};
+  std::uint64_t Malformed_ = 0;
+  std::uint64_t ServiceCalls_ = 0;
+  std::uint64_t ServiceFailures_ = 0;
+  bool ReadyTold_ = false;
   MonoTime StopFrom_ = MonoTime::max(); ///< Earliest end after a stop signal.
   MonoTime StopBy_ = MonoTime::max();
 };
@@ -108,7 +129,11 @@
                           const PacketSettings &Configured,
                           std::string SettingsPath, PlatformHooks Hooks)
     : Context_(Context), Settings_(Configured), Watch_(std::move(SettingsPath)),
-      Hooks_(std::move(Hooks)), Core_(makeCore(Settings_)),
+      Hooks_(std::move(Hooks)),
+      Core_(makeCore(Settings_,
+                     [this](ServiceId S, DelayClass C, Micros Delay) {
+                       Delays_.record(tenant(S), nameOf(C), Delay);
+                     })),
       Reader_(randomShare()),
       Call_(Hooks_.MakeCaller_(Context, Settings_.Configuration_)),
       Links_(Context, Settings_.Control_, MaxNewsMessage, linkHooks()),
@@ -116,19 +141,25 @@
       Packets_(Context, Settings_.Packets_,
                [this](const Endpoint &, const std::uint8_t *Data,
                       std::size_t Size) { onPacket(Data, Size); }),
-      Readiness_(Context, Settings_.Readiness_,
-                 [this](const std::string &Path) { return page(Path); }),
+      Readiness_(
+          Context, Settings_.Readiness_,
+          [this](const std::string &Path) { return readinessPage(Path); }),
       Timer_(Context), Signals_(Context, SIGTERM, SIGINT, SIGHUP) {
   NextSettingsLook_ = now() + SettingsLookEvery;
   awaitSignal();
+  serveMetrics();
+  logState("started", {{"packets", formatEndpoint(Settings_.Packets_)},
+                       {"data_hall", Settings_.DataHall_}});
   review();
 }
 
 void PacketProcess::Impl::onPacket(const std::uint8_t *Data, std::size_t Size) {
   LastPacket_ = now();
   Packet P;
-  if (!Hooks_.Decode_(Data, Size, P))
+  if (!Hooks_.Decode_(Data, Size, P)) {
+    ++Malformed_;
     return;
+  }
   Verdict V = Core_.steer(LastPacket_, P);
   std::visit([&](const auto &Typed) { act(Typed, Data, Size); }, V);
 }
@@ -159,8 +190,14 @@
     News_.tick(Now);
     endWhenQuiet(Now);
     lookAtSettings(Now);
+    flushLog();
     NextTick_ = Now + PacketBalancer::TickEvery;
   }
+  if (Core_.ready() && !ReadyTold_) {
+    ReadyTold_ = true;
+    logState("ready", {{"routing_version", Routing_->Version_},
+                       {"revision", News_.through()}});
+  }
   startCall(Now);
   Timer_.expires_at(
       steady(std::min(NextTick_, Reader_.dueAt(News_.readFrom()))));
@@ -175,21 +212,26 @@
   bool Quiet = Now >= StopFrom_ && Now - LastPacket_ >= QuietFor;
   if (!Quiet && Now < StopBy_)
     return;
-  logState("stopped", {{"quiet", Quiet ? "true" : "false"}});
+  logState("stopped", {{"quiet", Quiet}});
   Context_.stop();
 }
 
 void PacketProcess::Impl::startCall(MonoTime Now) {
   Reader_.known(News_.through());
   std::optional<IntentCall> Call = Reader_.next(Now, News_.readFrom());
-  if (Call)
-    Call_(*Call, [this](const IntentAnswer &Answer) { onAnswer(Answer); });
+  if (!Call)
+    return;
+  ++ServiceCalls_;
+  Call_(*Call, [this](const IntentAnswer &Answer) { onAnswer(Answer); });
 }
 
 void PacketProcess::Impl::onAnswer(const IntentAnswer &Answer) {
   MonoTime Now = now();
   Reader_.answered(Now, Answer, News_.fleetSize());
   bool Done = Answer.Outcome_ == IntentAnswer::Outcome::Done;
+  ServiceLog_.answered(Now, Answer);
+  if (!Done)
+    ++ServiceFailures_;
   if (!Done)
     News_.readFailed();
   else if (!News_.readDone(Now, Answer.Routing_, Answer.Batch_,
@@ -234,6 +276,8 @@
   };
   Hooks.Close_ = [this](LinkId Link) { Links_.close(Link); };
   Hooks.OnRouting_ = [this](const RoutingTablePtr &Table) {
+    Routing_ = Table;
+    logRouting(*Table);
     Core_.setRouting(now(), Table);
   };
   Hooks.OnUpstreams_ = [this](const std::vector<UpstreamChange> &Changes,
@@ -244,11 +288,48 @@
   return Hooks;
 }
 
-HttpPage PacketProcess::Impl::page(const std::string &Path) {
+HttpPage PacketProcess::Impl::readinessPage(const std::string &Path) {
   if (Path != Hooks_.ReadinessPath_)
     return {404, "text/plain", ""};
-  bool Ready = Core_.ready() && StopBy_ == MonoTime::max();
-  return {Ready ? 200U : 503U, "text/plain", ""};
+  return {ready() ? 200U : 503U, "text/plain", ""};
+}
+
+/// Without its metrics a balancer still serves: a port in use is only told.
+void PacketProcess::Impl::serveMetrics() {
+  Endpoint Where = Settings_.Readiness_;
+  Where.Port_ = Settings_.MetricsPort_;
+  try {
+    Metrics_.emplace(Context_, Where, [this](const std::string &Path) {
+      return packetPage(report(), Path);
+    });
+  } catch (const std::system_error &Error) {
+    logState("metrics_not_served",
+             {{"address", formatEndpoint(Where)}, {"reason", Error.what()}});
+  }
+}
+
+PacketReport PacketProcess::Impl::report() {
+  PacketReport R;
+  R.Name_ = Settings_.Name_;
+  R.Ready_ = ready();
+  R.Stopping_ = StopBy_ != MonoTime::max();
+  R.Now_ = now();
+  R.Status_ = Core_.status(R.Now_);
+  R.Counters_ = Core_.counters();
+  R.News_ = News_.counters();
+  R.Peers_ = News_.peers();
+  R.Routing_ = Routing_;
+  R.Malformed_ = Malformed_;
+  R.ServiceCalls_ = ServiceCalls_;
+  R.ServiceFailures_ = ServiceFailures_;
+  R.LogLinesDropped_ = droppedLogLines();
+  R.Reads_ = News_.readFrom() <= R.Now_;
+  R.Delays_ = &Delays_;
+  return R;
+}
+
+std::string PacketProcess::Impl::tenant(ServiceId Id) const {
+  return Routing_ ? Routing_->nameOf(Id) : std::to_string(raw(Id));
 }
 
 void PacketProcess::Impl::awaitSignal() {
--- a/test/packet-balancer-test.cc
+++ b/test/packet-balancer-test.cc
@@ -16,8 +16,8 @@
 
 MonoTime at(std::chrono::milliseconds Time) { return MonoTime(100s + Time); }
 
-RoutingTablePtr table(Version V,
-                      std::vector<std::pair<Endpoint, ServiceId>> Routes) {
+RoutingTablePtr
+table(Version V, const std::vector<std::pair<Endpoint, ServiceId>> &Routes) {
   auto Table = std::make_shared<RoutingTable>();
   Table->Version_ = V;
   for (const auto &[Where, Service] : Routes)
