One unanswered opening moves new flows elsewhere; a lone start reads once

Cause: with eight balancers each sees an upstream's openings once a second, so three unanswered in a row took longer than the list needs to drop a dead upstream; a start made a second call before its links were open. Ruled out: startup work (2.4 ms of processor time from start to 'started'). Change: the packet balancer ejects after one; reading waits 0.5 s for first peers.

--- a/include/thymewall/upstream-table.h
+++ b/include/thymewall/upstream-table.h
@@ -73,6 +73,9 @@
   static constexpr Micros Ejection = std::chrono::seconds(2);
   static constexpr std::uint32_t FailuresToEject = 3;
 
+  explicit UpstreamTable(std::uint32_t FailuresInARow = FailuresToEject)
+      : FailuresInARow_(FailuresInARow) {}
+
   void declare(const Declaration &D, MonoTime Now);
   /// Adds an upstream or changes the one with this identifier; gives its index.
   std::uint32_t declareOne(UpstreamId Id, const Endpoint &At,
@@ -115,6 +118,7 @@
   std::vector<std::uint32_t> Released_;
   std::unordered_map<std::uint32_t, std::uint32_t> ById_;
   std::unordered_map<Endpoint, std::uint32_t, EndpointHash> ByEndpoint_;
+  std::uint32_t FailuresInARow_;
   std::uint64_t Generation_ = 1;
   MonoTime NextReturn_ = MonoTime::max(); ///< Of an ejected upstream.
   bool Started_ = false;
--- a/src/news.cc
+++ b/src/news.cc
@@ -126,12 +126,14 @@
   MonoTime AskAgainAt_{};
   std::string NextMember_; ///< Where the next heartbeat's members begin.
   bool Reading_ = false;   ///< Reads, and knows of no better one that does.
+  bool EverLinked_ = false;
   bool Leaving_ = false;
 };
 
 void NewsExchange::Impl::opened(MonoTime Now, LinkId Which, bool OpenedHere) {
   Link &L = Links_[Which];
   L.OpenedHere_ = OpenedHere;
+  EverLinked_ = true;
   L.SilentAt_ = Now + SilentAfter;
   beat(Now, Which, L, MembersAtOpening);
 }
@@ -428,6 +430,8 @@
 }
 
 MonoTime NewsExchange::Impl::readFrom() const {
+  if (Members_.empty() && !EverLinked_ && KnownAsOf_ != MonoTime{})
+    return KnownAsOf_ + PeersWithin;
   std::size_t Rank = readRank();
   if (Rank == 0 || Reading_ || KnownAsOf_ == MonoTime{})
     return MonoTime{};
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -13,6 +13,10 @@
 
 namespace {
 
+/// A single opening that got no answer in the caller's 200 ms moves new flows
+/// elsewhere for a while: a mistake costs nothing, since they are served there.
+constexpr std::uint32_t UnansweredToEject = 1;
+
 /// Copies of an opening packet draw other candidates than the first one.
 constexpr std::uint64_t CopyDraw = 0x636f7079;
 
@@ -112,7 +116,8 @@
 };
 
 PacketBalancer::Impl::Impl(PacketBalancerOptions Options)
-    : Options_(std::move(Options)), Flows_(Options_.FlowBound_) {}
+    : Options_(std::move(Options)), Upstreams_(UnansweredToEject),
+      Flows_(Options_.FlowBound_) {}
 
 Verdict PacketBalancer::Impl::steer(MonoTime Now, const Packet &P) {
   Now_ = Now;
--- a/src/upstream-table.cc
+++ b/src/upstream-table.cc
@@ -180,7 +180,7 @@
 
 void UpstreamTable::failed(std::uint32_t Index, MonoTime Now, double Jitter) {
   UpstreamRow &Row = Rows_[Index];
-  if (++Row.Failures_ < FailuresToEject)
+  if (++Row.Failures_ < FailuresInARow_)
     return;
   auto Spread = std::chrono::duration_cast<Micros>(Ejection * (0.5 + Jitter));
   Row.EjectedUntil_ = Now + Spread;
