A dead upstream is proved by a connection check, and its flows are reset

Cause: a caller whose request was taken in sends nothing more, so requests in progress at an upstream that died dark waited for their deadline. Ruled out: resets on unanswered openings alone (no proof); health requests (dear, and a busy upstream answers late); sharing suspicions between balancers (openings cost next to nothing since one unanswered opening ejects). Change: a packet sent again without progress, or a copy of an opening, asks for a check: two TCP connections of 80 ms; refused or silent twice, with no progress of any flow since, is proof. Draining upstreams are left out; a late timer proves nothing. Its flows are reset at once, idle ones too.

--- a/include/thymewall/core.h
+++ b/include/thymewall/core.h
@@ -122,6 +122,7 @@
   UnknownCookie,
   ForgedCookie,
   NoneLeft,
+  UpstreamDead,
   Count
 };
 
--- a/include/thymewall/news.h
+++ b/include/thymewall/news.h
@@ -74,8 +74,8 @@
   static constexpr Micros ReadAfter = std::chrono::milliseconds(1500);
   static constexpr Micros ReadStep = std::chrono::milliseconds(100);
   static constexpr std::size_t ReadSteps = 8;
-  /// Without any peer yet, a balancer that has read once gives them this long to
-  /// show up before it reads again: links open in some ten milliseconds.
+  /// Without any peer yet, a balancer that has read once gives them this long
+  /// to show up before it reads again: links open in some ten milliseconds.
   static constexpr Micros PeersWithin = std::chrono::milliseconds(500);
   /// Older knowledge means that the configuration service was away.
   static constexpr Micros AwayAfter = std::chrono::milliseconds(2500);
--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -62,7 +62,15 @@
 
 /// A change in what is believed of an upstream; for logs.
 struct Belief {
-  enum class Kind : std::uint8_t { Listed, Draining, Lapsed, Gone, Ejected };
+  enum class Kind : std::uint8_t {
+    Listed,
+    Draining,
+    Lapsed,
+    Gone,
+    Ejected,
+    Checked, ///< It was suspected, and lives.
+    Dead     ///< Its flows are given up.
+  };
   Kind Kind_ = Kind::Listed;
   Incarnation Upstream_{};
   Endpoint At_;
@@ -70,6 +78,21 @@
 };
 using BeliefHook = std::function<void(const Belief &)>;
 
+/// Asks for proof that an upstream lives: a TCP connection to its address.
+struct UpstreamCheck {
+  Incarnation Upstream_{};
+  Endpoint At_;
+};
+using CheckHook = std::function<void(const UpstreamCheck &)>;
+/// What came of a check.
+enum class CheckResult : std::uint8_t {
+  Connected, ///< Something accepts connections there.
+  Dead,      ///< Refused, or silent for as long as a check lasts.
+  Unclear    ///< The check itself was disturbed.
+};
+/// Called with each flow that is given up because its upstream is dead.
+using ResetHook = std::function<void(const ResetFlow &)>;
+
 /// What a delay was measured of.
 enum class DelayClass : std::uint8_t {
   Open,   ///< From the opening packet to the caller's acknowledgement.
@@ -87,6 +110,8 @@
   std::uint64_t OpenMoved_ = 0;
   std::uint64_t Followed_ = 0;
   std::uint64_t Resets_ = 0;
+  std::uint64_t Checks_ = 0;
+  std::uint64_t Dead_ = 0; ///< Upstreams held to be dead.
   std::uint64_t LateWakes_ = 0;
 };
 
@@ -114,6 +139,8 @@
   DecisionHook OnDecision_;
   BeliefHook OnBelief_;
   PacketDelayHook OnDelay_;
+  CheckHook OnCheck_; ///< Without it no upstream is ever held to be dead.
+  ResetHook OnReset_;
   /// An unknown address is reset only if all that was published this long ago
   /// is known; from the time within which a routing table must be in force.
   Micros ResetWhenKnown_ = std::chrono::milliseconds(2500);
@@ -143,6 +170,9 @@
   /// missing count as gone only after `LapseLimit`.
   void applyUpstreams(MonoTime Now, const std::vector<UpstreamChange> &Changes,
                       bool MayReturn = false);
+  /// The answer to a check that began at \p Began.
+  void checked(MonoTime Now, Incarnation Upstream, CheckResult Result,
+               MonoTime Began);
   /// All that was published up to \p AsOf is known.
   void confirm(MonoTime AsOf);
   void tick(MonoTime Now);
@@ -165,6 +195,8 @@
   PacketBalancerBuilder &onDecision(DecisionHook Value);
   PacketBalancerBuilder &onBelief(BeliefHook Value);
   PacketBalancerBuilder &onDelay(PacketDelayHook Value);
+  PacketBalancerBuilder &onCheck(CheckHook Value);
+  PacketBalancerBuilder &onReset(ResetHook Value);
   PacketBalancerBuilder &resetWhenKnown(Micros Value);
   PacketBalancerBuilder &flowLimit(Micros Value);
   PacketBalancer build() const;
--- a/include/thymewall/upstream-table.h
+++ b/include/thymewall/upstream-table.h
@@ -93,6 +93,8 @@
   /// Counts a failure; after some in a row the upstream is ejected until
   /// \p Now plus an ejection time spread by \p Jitter (0 to 1).
   void failed(std::uint32_t Index, MonoTime Now, double Jitter);
+  /// Gives the upstream no new flows before \p Until.
+  void eject(std::uint32_t Index, MonoTime Until);
   /// Forgets every ejection and failure (after a late wake).
   void forgetBeliefs();
 
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -17,6 +17,11 @@
 /// elsewhere for a while: a mistake costs nothing, since they are served there.
 constexpr std::uint32_t UnansweredToEject = 1;
 
+/// An upstream that was checked is not checked again for this long.
+constexpr Micros CheckEvery = std::chrono::milliseconds(1000);
+/// A dead upstream takes no new flows for this long, unless it is listed anew.
+constexpr Micros DeadFor = std::chrono::seconds(5);
+
 /// Copies of an opening packet draw other candidates than the first one.
 constexpr std::uint64_t CopyDraw = 0x636f7079;
 
@@ -42,6 +47,8 @@
   void setRouting(RoutingTablePtr Table);
   void applyUpstreams(MonoTime Now, const std::vector<UpstreamChange> &Changes,
                       bool MayReturn);
+  void checked(MonoTime Now, Incarnation Upstream, CheckResult Result,
+               MonoTime Began);
   void confirm(MonoTime AsOf) { KnownAsOf_ = std::max(KnownAsOf_, AsOf); }
   void tick(MonoTime Now);
   void setLimits(Micros ResetWhenKnown, Micros FlowLimit) {
@@ -60,6 +67,8 @@
     Revision Revision_ = 0;
     MonoTime LapsedUntil_{}; ///< While it may come back.
     MonoTime ForgetAt_{};    ///< When a gone upstream's row is given back.
+    MonoTime ProgressAt_{};  ///< Last sign of life in any of its flows.
+    MonoTime NextCheckAt_{};
     bool Lapsed_ = false;
     bool Gone_ = false;
     bool Draining_ = false;
@@ -78,8 +87,8 @@
   std::uint32_t choose(ServiceId Service, FlowId Flow, std::uint32_t Copy,
                        std::uint32_t Avoid);
   const Eligible &eligible(ServiceState &State);
-  PacketFlowRow *place(FlowId Flow, std::uint32_t Index);
-  void noteOpening(FlowId Flow, std::uint32_t Index);
+  PacketFlowRow *place(const Packet &P, FlowId Flow, std::uint32_t Index);
+  void noteOpening(const Packet &P, FlowId Flow, std::uint32_t Index);
   void noteProgress(const Packet &P, FlowId Flow, std::uint32_t Index);
   PacketFlowRow *noteFollowed(const Packet &P, FlowId Flow,
                               std::uint32_t Index);
@@ -91,6 +100,8 @@
   void end(const UpstreamChange &Change, bool MayReturn);
   void setGone(std::uint32_t Index);
   void suspect(std::uint32_t Index);
+  void check(std::uint32_t Index);
+  void giveUpFlows(std::uint32_t Index);
   void believe(Belief::Kind Kind, std::uint32_t Index) const;
   void decide(Decision::Kind Kind, const Packet &P, std::uint32_t Index,
               ErrorKind Why, std::size_t Candidates) const;
@@ -154,13 +165,15 @@
   PacketFlowRow *Row = Flows_.find(Flow);
   if (Row && Copy > 0 && !Row->Open_)
     Before = Row->Upstream_;
-  if (Before != UpstreamTable::None)
+  if (Before != UpstreamTable::None) {
     suspect(Before);
+    check(Before);
+  }
   ServiceId Service = drawService(Shares, Flow);
   std::uint32_t Index = choose(Service, Flow, Copy, Before);
   if (Index == UpstreamTable::None)
     return refuse(P, ErrorKind::NoneLeft);
-  noteOpening(Flow, Index);
+  noteOpening(P, Flow, Index);
   ++(Copy == 0 ? Counters_.Opened_ : Counters_.OpenMoved_);
   decide(Copy == 0 ? Decision::Kind::Opened : Decision::Kind::OpenMoved, P,
          Index, ErrorKind::None, Services_[raw(Service)].Eligible_.size());
@@ -230,12 +243,15 @@
 
 /// A row for a flow that goes to an upstream from now on; null when the table
 /// is full: such a flow is served, but not counted.
-PacketFlowRow *PacketBalancer::Impl::place(FlowId Flow, std::uint32_t Index) {
+PacketFlowRow *PacketBalancer::Impl::place(const Packet &P, FlowId Flow,
+                                           std::uint32_t Index) {
   PacketFlowRow *Row = Flows_.find(Flow);
   if (Row)
     countOut(*Row);
   PacketFlowRow Fresh;
   Fresh.Flow_ = Flow;
+  Fresh.Caller_ = P.Caller_;
+  Fresh.Service_ = P.Service_;
   if (!Row)
     Row = Flows_.insert(Fresh, dueTick(Options_.FlowLimit_));
   if (!Row)
@@ -247,8 +263,9 @@
   return Row;
 }
 
-void PacketBalancer::Impl::noteOpening(FlowId Flow, std::uint32_t Index) {
-  if (PacketFlowRow *Row = place(Flow, Index))
+void PacketBalancer::Impl::noteOpening(const Packet &P, FlowId Flow,
+                                       std::uint32_t Index) {
+  if (PacketFlowRow *Row = place(P, Flow, Index))
     setInProgress(*Row, true);
 }
 
@@ -259,7 +276,7 @@
     return nullptr;
   ++Counters_.Followed_;
   decide(Decision::Kind::Followed, P, Index, ErrorKind::None, 0);
-  PacketFlowRow *Row = place(Flow, Index);
+  PacketFlowRow *Row = place(P, Flow, Index);
   if (!Row)
     return nullptr;
   Row->Open_ = true;
@@ -292,19 +309,28 @@
     return;
   if (P.Finishes_ || P.Resets_)
     return endFlow(*Row);
+  bool Progress = !Row->Open_ || P.Acknowledged_ != Row->Acknowledged_;
+  bool SentAgain = !Progress && Row->InProgress_ && P.DataSize_ > 0 &&
+                   P.Sequence_ == Row->Sequence_;
+  if (Progress)
+    Details_[Row->Upstream_].ProgressAt_ = Now_;
+  if (SentAgain)
+    check(Row->Upstream_);
   if (!Row->Open_) {
     Row->Open_ = true;
     Upstreams_.succeeded(Row->Upstream_);
     measure(*Row, DelayClass::Open);
     Row->Since_ = Now_; // its request comes right behind
-  } else if (P.Acknowledged_ != Row->Acknowledged_) {
+  } else if (Progress) {
     if (Row->InProgress_)
       measure(*Row, DelayClass::Request);
     setInProgress(*Row, false);
   }
   Row->Acknowledged_ = P.Acknowledged_;
-  if (P.DataSize_ > 0)
-    setInProgress(*Row, true);
+  if (P.DataSize_ == 0)
+    return;
+  Row->Sequence_ = P.Sequence_;
+  setInProgress(*Row, true);
 }
 
 void PacketBalancer::Impl::countOut(const PacketFlowRow &Row) {
@@ -328,6 +354,52 @@
     believe(Belief::Kind::Ejected, Index);
 }
 
+/// A packet got no answer in the time after which it is sent again.
+void PacketBalancer::Impl::check(std::uint32_t Index) {
+  Detail &D = Details_[Index];
+  bool Skip = !Options_.OnCheck_ || D.NextCheckAt_ > Now_ || D.Draining_;
+  if (Skip)
+    return;
+  D.NextCheckAt_ = Now_ + CheckEvery;
+  ++Counters_.Checks_;
+  Options_.OnCheck_({Upstreams_[Index].Incarnation_, Upstreams_[Index].At_});
+}
+
+void PacketBalancer::Impl::checked(MonoTime Now, Incarnation Upstream,
+                                   CheckResult Result, MonoTime Began) {
+  Now_ = Now;
+  auto Known = IndexOfCookie_.find(cookieOf(Upstream));
+  if (Known == IndexOfCookie_.end() ||
+      Upstreams_[Known->second].Incarnation_ != Upstream)
+    return;
+  std::uint32_t Index = Known->second;
+  // Whatever the check saw, progress of a flow since then is life.
+  bool Progress = Details_[Index].ProgressAt_ >= Began;
+  if (Result == CheckResult::Unclear)
+    return;
+  if (Result == CheckResult::Connected || Progress)
+    return believe(Belief::Kind::Checked, Index);
+  ++Counters_.Dead_;
+  Upstreams_.eject(Index, Now_ + DeadFor);
+  believe(Belief::Kind::Dead, Index);
+  giveUpFlows(Index);
+}
+
+void PacketBalancer::Impl::giveUpFlows(std::uint32_t Index) {
+  std::vector<FlowId> Lost;
+  Flows_.forEach([&](const PacketFlowRow &Row) {
+    if (Row.Upstream_ == Index && Row.Open_)
+      Lost.push_back(Row.Flow_);
+  });
+  for (FlowId Flow : Lost) {
+    PacketFlowRow *Row = Flows_.find(Flow);
+    ++Counters_.Resets_;
+    Options_.OnReset_({Row->Caller_, Row->Service_, Row->Acknowledged_,
+                       ErrorKind::UpstreamDead});
+    endFlow(*Row);
+  }
+}
+
 void PacketBalancer::Impl::setRouting(RoutingTablePtr Table) {
   if (Routing_ && Table->Version_ <= Routing_->Version_)
     return;
@@ -516,6 +588,10 @@
                                     bool MayReturn) {
   Impl_->applyUpstreams(Now, Changes, MayReturn);
 }
+void PacketBalancer::checked(MonoTime Now, Incarnation Upstream,
+                             CheckResult Result, MonoTime Began) {
+  Impl_->checked(Now, Upstream, Result, Began);
+}
 void PacketBalancer::confirm(MonoTime AsOf) { Impl_->confirm(AsOf); }
 void PacketBalancer::tick(MonoTime Now) { Impl_->tick(Now); }
 void PacketBalancer::setLimits(Micros ResetWhenKnown, Micros FlowLimit) {
@@ -553,6 +629,14 @@
   Options_.OnDelay_ = std::move(Value);
   return *this;
 }
+PacketBalancerBuilder &PacketBalancerBuilder::onCheck(CheckHook Value) {
+  Options_.OnCheck_ = std::move(Value);
+  return *this;
+}
+PacketBalancerBuilder &PacketBalancerBuilder::onReset(ResetHook Value) {
+  Options_.OnReset_ = std::move(Value);
+  return *this;
+}
 PacketBalancer PacketBalancerBuilder::build() const {
   return PacketBalancer(Options_);
 }
--- a/src/packet-log.cc
+++ b/src/packet-log.cc
@@ -34,6 +34,10 @@
     return "upstream_gone";
   case Belief::Kind::Ejected:
     return "upstream_ejected";
+  case Belief::Kind::Checked:
+    return "upstream_checked";
+  case Belief::Kind::Dead:
+    return "upstream_dead";
   }
   return "";
 }
@@ -88,6 +92,12 @@
                                  {"revision", B.Revision_}});
 }
 
+void logReset(const ResetFlow &R) {
+  logDecision("flow_reset", {{"caller", formatEndpoint(R.Caller_)},
+                             {"address", formatEndpoint(R.Service_)},
+                             {"reason", errorRow(R.Why_).Name_}});
+}
+
 void logRouting(const RoutingTable &Table) {
   logDecision("routing_in_force", {{"version", Table.Version_},
                                    {"addresses", Table.Addresses_.size()}});
--- a/src/packet-log.h
+++ b/src/packet-log.h
@@ -13,6 +13,7 @@
 
 void logDecisionOn(const Decision &D);
 void logBelief(const Belief &B);
+void logReset(const ResetFlow &R);
 void logRouting(const RoutingTable &Table);
 
 /// Tells when the configuration service is lost and when it is back, once each.
--- a/src/packet-pages.cc
+++ b/src/packet-pages.cc
@@ -20,6 +20,8 @@
                                 {"open_moved", C.OpenMoved_},
                                 {"followed", C.Followed_},
                                 {"resets", C.Resets_},
+                                {"upstream_checks", C.Checks_},
+                                {"upstreams_dead", C.Dead_},
                                 {"late_wakes", C.LateWakes_},
                                 {"malformed", R.Malformed_},
                                 {"heartbeats_sent", R.News_.HeartbeatsSent_},
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -7,6 +7,7 @@
 #include "settings-watch.h"
 #include "thymewall/log.h"
 #include "udp-socket.h"
+#include "upstream-checker.h"
 
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -57,13 +58,16 @@
   return Class == DelayClass::Open ? "open" : "request";
 }
 
-PacketBalancer makeCore(const PacketSettings &S, PacketDelayHook OnDelay) {
+PacketBalancer makeCore(const PacketSettings &S, PacketDelayHook OnDelay,
+                        CheckHook OnCheck, ResetHook OnReset) {
   return PacketBalancerBuilder()
       .resetWhenKnown(resetWhenKnown(S))
       .flowLimit(S.FlowLimit_)
       .onDecision(logDecisionOn)
       .onBelief(logBelief)
       .onDelay(std::move(OnDelay))
+      .onCheck(std::move(OnCheck))
+      .onReset(std::move(OnReset))
       .build();
 }
 
@@ -82,6 +86,7 @@
   PeerLinkHooks linkHooks();
   NewsHooks newsHooks();
   void onPeerMessage(LinkId Link, const std::string &Bytes);
+  void sendReset(const ResetFlow &R);
   void onAnswer(const IntentAnswer &Answer);
   void review();
   void endWhenQuiet(MonoTime Now);
@@ -104,6 +109,7 @@
   DelayMetrics Delays_;
   RoutingTablePtr Routing_;
   PacketBalancer Core_;
+  UpstreamChecker Checker_;
   IntentReader Reader_;
   IntentCaller Call_;
   PeerLinks Links_;
@@ -130,10 +136,18 @@
                           std::string SettingsPath, PlatformHooks Hooks)
     : Context_(Context), Settings_(Configured), Watch_(std::move(SettingsPath)),
       Hooks_(std::move(Hooks)),
-      Core_(makeCore(Settings_,
-                     [this](ServiceId S, DelayClass C, Micros Delay) {
-                       Delays_.record(tenant(S), nameOf(C), Delay);
-                     })),
+      Core_(makeCore(
+          Settings_,
+          [this](ServiceId S, DelayClass C, Micros Delay) {
+            Delays_.record(tenant(S), nameOf(C), Delay);
+          },
+          [this](const UpstreamCheck &Wanted) { Checker_.check(Wanted); },
+          [this](const ResetFlow &R) { sendReset(R); })),
+      Checker_(
+          Context,
+          [this](Incarnation Upstream, CheckResult Result, MonoTime Began) {
+            Core_.checked(now(), Upstream, Result, Began);
+          }),
       Reader_(randomShare()),
       Call_(Hooks_.MakeCaller_(Context, Settings_.Configuration_)),
       Links_(Context, Settings_.Control_, MaxNewsMessage, linkHooks()),
@@ -173,6 +187,12 @@
 
 void PacketProcess::Impl::act(const ResetFlow &R, const std::uint8_t *,
                               std::size_t) {
+  sendReset(R);
+}
+
+void PacketProcess::Impl::sendReset(const ResetFlow &R) {
+  if (R.Why_ == ErrorKind::UpstreamDead)
+    logReset(R);
   std::uint8_t Buffer[MaxPacket];
   std::size_t Length = Hooks_.EncodeReset_(R, Buffer);
   Endpoint To = R.Caller_;
--- /dev/null
+++ b/src/upstream-checker.cc
@@ -0,0 +1,101 @@
+#include "upstream-checker.h"
+
+#include "udp-socket.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace thymewall::detail {
+
+namespace {
+
+/// A connection takes about 2 ms between data halls.
+constexpr auto TryFor = std::chrono::milliseconds(80);
+constexpr int Tries = 2;
+/// A timer this late means that this process did not run; then silence is no
+/// proof.
+constexpr auto LateBy = std::chrono::milliseconds(40);
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+MonoTime mono(SteadyTime At) {
+  return MonoTime(std::chrono::duration_cast<Micros>(At.time_since_epoch()));
+}
+
+/// One check; lives while one of its operations is under way.
+class Check : public std::enable_shared_from_this<Check> {
+public:
+  Check(asio::io_context &Context, const UpstreamCheck &Wanted,
+        std::shared_ptr<const UpstreamChecker::Handler> OnResult)
+      : Socket_(Context), Timer_(Context), Wanted_(Wanted),
+        OnResult_(std::move(OnResult)),
+        Began_(std::chrono::steady_clock::now()) {}
+
+  void attempt() {
+    ++Attempt_;
+    EndAt_ = std::chrono::steady_clock::now() + TryFor;
+    Timer_.expires_at(EndAt_);
+    Timer_.async_wait([Self = shared_from_this(),
+                       Attempt = Attempt_](const asio::error_code &Error) {
+      if (!Error && Self->Attempt_ == Attempt)
+        Self->onSilence();
+    });
+    asio::ip::udp::endpoint At = toAsio(Wanted_.At_);
+    Socket_.async_connect({At.address(), At.port()},
+                          [Self = shared_from_this(),
+                           Attempt = Attempt_](const asio::error_code &Error) {
+                            if (Self->Attempt_ == Attempt)
+                              Self->onConnect(Error);
+                          });
+  }
+
+private:
+  void onConnect(const asio::error_code &Error) {
+    if (!Error)
+      return finish(CheckResult::Connected);
+    bool Refused = Error == asio::error::connection_refused;
+    finish(Refused ? CheckResult::Dead : CheckResult::Unclear);
+  }
+
+  void onSilence() {
+    if (std::chrono::steady_clock::now() - EndAt_ > LateBy)
+      return finish(CheckResult::Unclear);
+    close();
+    if (Attempt_ < Tries)
+      attempt();
+    else
+      finish(CheckResult::Dead);
+  }
+
+  void close() {
+    asio::error_code Ignored;
+    Socket_.close(Ignored);
+  }
+
+  void finish(CheckResult Result) {
+    Attempt_ = Tries + 1; // whatever still ends is ignored
+    Timer_.cancel();
+    close();
+    (*OnResult_)(Wanted_.Upstream_, Result, mono(Began_));
+  }
+
+  asio::ip::tcp::socket Socket_;
+  asio::steady_timer Timer_;
+  UpstreamCheck Wanted_;
+  std::shared_ptr<const UpstreamChecker::Handler> OnResult_;
+  SteadyTime Began_;
+  SteadyTime EndAt_{};
+  int Attempt_ = 0;
+};
+
+} // namespace
+
+UpstreamChecker::UpstreamChecker(asio::io_context &Context, Handler OnResult)
+    : Context_(Context),
+      OnResult_(std::make_shared<const Handler>(std::move(OnResult))) {}
+
+void UpstreamChecker::check(const UpstreamCheck &Wanted) {
+  std::make_shared<Check>(Context_, Wanted, OnResult_)->attempt();
+}
+
+} // namespace thymewall::detail
--- a/src/upstream-table.cc
+++ b/src/upstream-table.cc
@@ -179,11 +179,15 @@
 }
 
 void UpstreamTable::failed(std::uint32_t Index, MonoTime Now, double Jitter) {
-  UpstreamRow &Row = Rows_[Index];
-  if (++Row.Failures_ < FailuresInARow_)
+  if (++Rows_[Index].Failures_ < FailuresInARow_)
     return;
   auto Spread = std::chrono::duration_cast<Micros>(Ejection * (0.5 + Jitter));
-  Row.EjectedUntil_ = Now + Spread;
+  eject(Index, Now + Spread);
+}
+
+void UpstreamTable::eject(std::uint32_t Index, MonoTime Until) {
+  UpstreamRow &Row = Rows_[Index];
+  Row.EjectedUntil_ = std::max(Row.EjectedUntil_, Until);
   Row.Failures_ = 0;
   NextReturn_ = std::min(NextReturn_, Row.EjectedUntil_);
   ++Generation_;
