Packets that arrive before a start is ready are held; tests of checks and resets

Ruled out: the length of the start itself (3 ms of processor time). Change: HeldPackets, at most 1.2 s old, 2,048 of them, sent on once ready; the packet socket is bound before anything else. packet-balancer.cc in three files.

--- /dev/null
+++ b/include/thymewall/held-packets.h
@@ -0,0 +1,41 @@
+/// \file
+/// Packets that arrive before a balancer knows where to send them: kept for a
+/// moment, since a caller's next copy comes only after 200 ms to 1.6 s.
+#ifndef THYMEWALL_HELD_PACKETS_H
+#define THYMEWALL_HELD_PACKETS_H
+
+#include "thymewall/core.h"
+
+#include <deque>
+#include <functional>
+#include <vector>
+
+namespace thymewall {
+
+class HeldPackets {
+public:
+  /// An opening that is older has been given up by its caller after 1.4 s.
+  static constexpr Micros HoldFor = std::chrono::milliseconds(1200);
+  /// About what arrives at an entry host of today in that time, twice.
+  static constexpr std::size_t Bound = 2048;
+
+  /// Keeps a copy; the oldest goes when there are too many.
+  void hold(MonoTime Now, const std::uint8_t *Data, std::size_t Size);
+  /// Gives every packet that is not too old to \p Take, oldest first, and
+  /// forgets all.
+  void release(MonoTime Now,
+               const std::function<void(const std::uint8_t *Data,
+                                        std::size_t Size)> &Take);
+  std::size_t size() const { return Packets_.size(); }
+
+private:
+  struct Held {
+    MonoTime At_;
+    std::vector<std::uint8_t> Bytes_;
+  };
+  std::deque<Held> Packets_;
+};
+
+} // namespace thymewall
+
+#endif
--- /dev/null
+++ b/src/packet-balancer-impl.h
@@ -0,0 +1,122 @@
+/// \file
+/// Inside of `PacketBalancer`: packets (packet-balancer.cc), what is remembered
+/// of flows (packet-balancer-flows.cc) and what is believed of upstreams
+/// (packet-balancer-upstreams.cc).
+#ifndef THYMEWALL_SRC_PACKET_BALANCER_IMPL_H
+#define THYMEWALL_SRC_PACKET_BALANCER_IMPL_H
+
+#include "packet-flow.h"
+#include "thymewall/packet-balancer.h"
+
+#include <unordered_map>
+
+namespace thymewall {
+
+namespace detail {
+
+/// The cookie of an upstream: what fits of its incarnation. Never 0, which
+/// stands for no cookie.
+inline Cookie cookieOf(Incarnation Which) {
+  auto Low = static_cast<std::uint32_t>(raw(Which));
+  return Low == 0 ? 1 : Low;
+}
+
+/// A single opening that got no answer in the caller's 200 ms moves new flows
+/// elsewhere for a while: a mistake costs nothing, since they are served there.
+constexpr std::uint32_t UnansweredToEject = 1;
+
+} // namespace detail
+
+class PacketBalancer::Impl {
+public:
+  explicit Impl(PacketBalancerOptions Options);
+
+  Verdict steer(MonoTime Now, const Packet &P);
+  void setRouting(RoutingTablePtr Table);
+  void applyUpstreams(MonoTime Now, const std::vector<UpstreamChange> &Changes,
+                      bool MayReturn);
+  void checked(MonoTime Now, Incarnation Upstream, CheckResult Result,
+               MonoTime Began);
+  void confirm(MonoTime AsOf) { KnownAsOf_ = std::max(KnownAsOf_, AsOf); }
+  void tick(MonoTime Now);
+  void setLimits(Micros ResetWhenKnown, Micros FlowLimit) {
+    Options_.ResetWhenKnown_ = ResetWhenKnown;
+    Options_.FlowLimit_ = FlowLimit;
+  }
+  bool ready() const { return Routing_ && ListKnown_; }
+  const PacketCounters &counters() const { return Counters_; }
+  PacketStatus status(MonoTime Now) const;
+
+private:
+  /// What belongs to a row of the upstream table with the same index.
+  struct Detail {
+    ServiceId Service_{};
+    std::string DataHall_;
+    Revision Revision_ = 0;
+    MonoTime LapsedUntil_{}; ///< While it may come back.
+    MonoTime ForgetAt_{};    ///< When a gone upstream's row is given back.
+    MonoTime ProgressAt_{};  ///< Last sign of life in any of its flows.
+    MonoTime NextCheckAt_{};
+    bool Lapsed_ = false;
+    bool Gone_ = false;
+    bool Draining_ = false;
+  };
+  /// The upstreams of a service and those among them that take new flows.
+  struct ServiceState {
+    std::vector<std::uint32_t> Members_;
+    Eligible Eligible_;
+    std::uint64_t Generation_ = 0;
+  };
+
+  Verdict open(const Packet &P, FlowId Flow,
+               const std::vector<ServiceShare> &Shares);
+  Verdict follow(const Packet &P, FlowId Flow);
+  Verdict refuse(const Packet &P, ErrorKind Why);
+  std::uint32_t choose(ServiceId Service, FlowId Flow, std::uint32_t Copy,
+                       std::uint32_t Avoid);
+  const Eligible &eligible(ServiceState &State);
+  detail::PacketFlowRow *place(const Packet &P, FlowId Flow,
+                               std::uint32_t Index);
+  void noteOpening(const Packet &P, FlowId Flow, std::uint32_t Index);
+  void noteProgress(const Packet &P, FlowId Flow, std::uint32_t Index);
+  detail::PacketFlowRow *noteFollowed(const Packet &P, FlowId Flow,
+                                      std::uint32_t Index);
+  void measure(const detail::PacketFlowRow &Row, DelayClass Class) const;
+  void setInProgress(detail::PacketFlowRow &Row, bool InProgress);
+  void endFlow(detail::PacketFlowRow &Row);
+  void countOut(const detail::PacketFlowRow &Row);
+  void put(const UpstreamChange &Change);
+  void end(const UpstreamChange &Change, bool MayReturn);
+  void setGone(std::uint32_t Index);
+  void expireUpstreams();
+  void forget(std::uint32_t Index);
+  void suspect(std::uint32_t Index);
+  void check(std::uint32_t Index);
+  void giveUpFlows(std::uint32_t Index);
+  void believe(Belief::Kind Kind, std::uint32_t Index) const;
+  void decide(Decision::Kind Kind, const Packet &P, std::uint32_t Index,
+              ErrorKind Why, std::size_t Candidates) const;
+  void moveTo(std::uint32_t Index, ServiceId Service);
+  std::uint32_t dueTick(Micros After) const;
+  std::string_view whyNotChosen(std::uint32_t Index, MonoTime Now) const;
+  bool allowed(const Endpoint &Service, ServiceId Id) const;
+
+  PacketBalancerOptions Options_;
+  PacketCounters Counters_;
+  RoutingTablePtr Routing_;
+  /// Services that any table so far allowed, by address.
+  std::unordered_map<Endpoint, std::vector<ServiceId>, EndpointHash> Allowed_;
+  UpstreamTable Upstreams_;
+  std::vector<Detail> Details_; ///< Same index as `Upstreams_`.
+  std::unordered_map<std::uint32_t, ServiceState> Services_;
+  std::unordered_map<std::uint32_t, std::uint32_t> IndexOfCookie_;
+  detail::PacketFlowTable Flows_;
+  MonoTime Now_{};
+  MonoTime KnownAsOf_{};
+  MonoTime NextTickBy_ = MonoTime::max();
+  bool ListKnown_ = false;
+};
+
+} // namespace thymewall
+
+#endif
--- /dev/null
+++ b/src/packet-balancer-upstreams.cc
@@ -0,0 +1,210 @@
+#include "packet-balancer-impl.h"
+
+#include <algorithm>
+
+namespace thymewall {
+
+using detail::cookieOf;
+using detail::PacketFlowRow;
+
+namespace {
+
+/// An upstream that was checked is not checked again for this long.
+constexpr Micros CheckEvery = std::chrono::milliseconds(1000);
+/// A dead upstream takes no new flows for this long, unless it is listed anew.
+constexpr Micros DeadFor = std::chrono::seconds(5);
+
+} // namespace
+
+void PacketBalancer::Impl::suspect(std::uint32_t Index) {
+  bool Before = Upstreams_[Index].EjectedUntil_ > Now_;
+  // Flows differ enough from balancer to balancer to spread the returns.
+  double Jitter = static_cast<double>(raw(Upstreams_[Index].Id_) % 1000) / 1000;
+  Upstreams_.failed(Index, Now_, Jitter);
+  if (!Before && Upstreams_[Index].EjectedUntil_ > Now_)
+    believe(Belief::Kind::Ejected, Index);
+}
+
+/// A packet got no answer in the time after which it is sent again.
+void PacketBalancer::Impl::check(std::uint32_t Index) {
+  Detail &D = Details_[Index];
+  bool Skip = !Options_.OnCheck_ || D.NextCheckAt_ > Now_ || D.Draining_;
+  if (Skip)
+    return;
+  D.NextCheckAt_ = Now_ + CheckEvery;
+  ++Counters_.Checks_;
+  Options_.OnCheck_({Upstreams_[Index].Incarnation_, Upstreams_[Index].At_});
+}
+
+void PacketBalancer::Impl::checked(MonoTime Now, Incarnation Upstream,
+                                   CheckResult Result, MonoTime Began) {
+  Now_ = Now;
+  auto Known = IndexOfCookie_.find(cookieOf(Upstream));
+  if (Known == IndexOfCookie_.end() ||
+      Upstreams_[Known->second].Incarnation_ != Upstream)
+    return;
+  std::uint32_t Index = Known->second;
+  // Whatever the check saw, progress of a flow since then is life.
+  bool Progress = Details_[Index].ProgressAt_ >= Began;
+  if (Result == CheckResult::Unclear)
+    return;
+  if (Result == CheckResult::Connected || Progress)
+    return believe(Belief::Kind::Checked, Index);
+  ++Counters_.Dead_;
+  Upstreams_.eject(Index, Now_ + DeadFor);
+  believe(Belief::Kind::Dead, Index);
+  giveUpFlows(Index);
+}
+
+void PacketBalancer::Impl::giveUpFlows(std::uint32_t Index) {
+  std::vector<FlowId> Lost;
+  Flows_.forEach([&](const PacketFlowRow &Row) {
+    if (Row.Upstream_ == Index && Row.Open_)
+      Lost.push_back(Row.Flow_);
+  });
+  for (FlowId Flow : Lost) {
+    PacketFlowRow *Row = Flows_.find(Flow);
+    ++Counters_.Resets_;
+    Options_.OnReset_({Row->Caller_, Row->Service_, Row->Acknowledged_,
+                       ErrorKind::UpstreamDead});
+    endFlow(*Row);
+  }
+}
+
+void PacketBalancer::Impl::applyUpstreams(
+    MonoTime Now, const std::vector<UpstreamChange> &Changes, bool MayReturn) {
+  Now_ = Now;
+  ListKnown_ = true;
+  for (const UpstreamChange &Change : Changes) {
+    if (Change.Entry_)
+      put(Change);
+    else
+      end(Change, MayReturn);
+  }
+}
+
+void PacketBalancer::Impl::put(const UpstreamChange &Change) {
+  const UpstreamEntry &Entry = *Change.Entry_;
+  Cookie Mark = cookieOf(Entry.Incarnation_);
+  auto Known = IndexOfCookie_.find(Mark);
+  bool Taken = Known != IndexOfCookie_.end() &&
+               Upstreams_[Known->second].Incarnation_ != Entry.Incarnation_;
+  // Two upstreams with one cookie: the earlier one keeps it, and the later one
+  // gets no flows, since their packets could not be told apart.
+  if (Taken)
+    return;
+  std::uint32_t Index = Upstreams_.declareOne(
+      static_cast<UpstreamId>(Mark), Entry.At_, Entry.Slots_, Entry.WarmAt_);
+  if (Details_.size() <= Index)
+    Details_.resize(Index + 1);
+  bool Fresh = Known == IndexOfCookie_.end();
+  IndexOfCookie_[Mark] = Index;
+  Upstreams_[Index].Incarnation_ = Entry.Incarnation_;
+  Upstreams_.setLeaving(static_cast<UpstreamId>(Mark), Entry.Draining_);
+  moveTo(Index, Entry.Service_);
+  Detail &D = Details_[Index];
+  bool NewlyDraining = Entry.Draining_ && !D.Draining_;
+  bool Returned = D.Lapsed_ || D.Gone_;
+  D.DataHall_ = Entry.DataHall_;
+  D.Revision_ = Change.At_;
+  D.Draining_ = Entry.Draining_;
+  D.Lapsed_ = false;
+  D.Gone_ = false;
+  if (Fresh || Returned)
+    believe(Belief::Kind::Listed, Index);
+  if (NewlyDraining)
+    believe(Belief::Kind::Draining, Index);
+}
+
+void PacketBalancer::Impl::moveTo(std::uint32_t Index, ServiceId Service) {
+  Detail &D = Details_[Index];
+  std::vector<std::uint32_t> &Old = Services_[raw(D.Service_)].Members_;
+  Old.erase(std::remove(Old.begin(), Old.end(), Index), Old.end());
+  D.Service_ = Service;
+  Services_[raw(Service)].Members_.push_back(Index);
+}
+
+void PacketBalancer::Impl::end(const UpstreamChange &Change, bool MayReturn) {
+  auto Known = IndexOfCookie_.find(cookieOf(Change.Incarnation_));
+  if (Known == IndexOfCookie_.end())
+    return;
+  std::uint32_t Index = Known->second;
+  Detail &D = Details_[Index];
+  if (Upstreams_[Index].Incarnation_ != Change.Incarnation_ || D.Gone_)
+    return;
+  D.Revision_ = Change.At_;
+  if (!MayReturn)
+    return setGone(Index);
+  D.Lapsed_ = true;
+  D.LapsedUntil_ = Now_ + LapseLimit;
+  believe(Belief::Kind::Lapsed, Index);
+}
+
+void PacketBalancer::Impl::setGone(std::uint32_t Index) {
+  Detail &D = Details_[Index];
+  D.Lapsed_ = false;
+  D.Gone_ = true;
+  // Its flows are still sent to it: it may live on for a while.
+  D.ForgetAt_ = Now_ + Options_.FlowLimit_;
+  Upstreams_.withdraw(Index);
+  believe(Belief::Kind::Gone, Index);
+}
+
+/// Ends what had a time: lapsed upstreams are gone, and gone ones forgotten.
+void PacketBalancer::Impl::expireUpstreams() {
+  for (std::uint32_t Index = 0; Index < Details_.size(); ++Index) {
+    Detail &D = Details_[Index];
+    if (D.Lapsed_ && D.LapsedUntil_ <= Now_)
+      setGone(Index);
+    bool Unused = Upstreams_[Index].OwnFlows_ == 0;
+    if (D.Gone_ && D.ForgetAt_ <= Now_ && Unused)
+      forget(Index);
+  }
+}
+
+void PacketBalancer::Impl::forget(std::uint32_t Index) {
+  Detail &D = Details_[Index];
+  IndexOfCookie_.erase(cookieOf(Upstreams_[Index].Incarnation_));
+  std::vector<std::uint32_t> &Of = Services_[raw(D.Service_)].Members_;
+  Of.erase(std::remove(Of.begin(), Of.end(), Index), Of.end());
+  Upstreams_.release(Index);
+  D = Detail{};
+}
+
+void PacketBalancer::Impl::believe(Belief::Kind Kind,
+                                   std::uint32_t Index) const {
+  if (!Options_.OnBelief_)
+    return;
+  const UpstreamRow &Up = Upstreams_.rows()[Index];
+  Options_.OnBelief_(
+      {Kind, Up.Incarnation_, Up.At_, Details_[Index].Revision_});
+}
+
+std::string_view PacketBalancer::Impl::whyNotChosen(std::uint32_t Index,
+                                                    MonoTime Now) const {
+  const Detail &D = Details_[Index];
+  if (D.Gone_)
+    return "gone";
+  if (D.Draining_)
+    return "draining";
+  if (Upstreams_.rows()[Index].EjectedUntil_ > Now)
+    return "ejected";
+  return {};
+}
+
+PacketStatus PacketBalancer::Impl::status(MonoTime Now) const {
+  PacketStatus S;
+  S.RoutingVersion_ = Routing_ ? Routing_->Version_ : 0;
+  S.KnownAsOf_ = KnownAsOf_;
+  S.Flows_ = Flows_.size();
+  S.MemoryBytes_ = Flows_.memory();
+  for (const auto &[Mark, Index] : IndexOfCookie_) {
+    const Detail &D = Details_[Index];
+    const UpstreamRow &Row = Upstreams_.rows()[Index];
+    S.Upstreams_.push_back({Row.Incarnation_, D.DataHall_, D.Service_, Row,
+                            whyNotChosen(Index, Now)});
+  }
+  return S;
+}
+
+} // namespace thymewall
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -5,6 +5,7 @@
 #include "packet-pages.h"
 #include "peer-links.h"
 #include "settings-watch.h"
+#include "thymewall/held-packets.h"
 #include "thymewall/log.h"
 #include "udp-socket.h"
 #include "upstream-checker.h"
@@ -80,6 +81,8 @@
 
 private:
   void onPacket(const std::uint8_t *Data, std::size_t Size);
+  void steer(const std::uint8_t *Data, std::size_t Size);
+  void noteReady();
   void act(const Forward &F, const std::uint8_t *Data, std::size_t Size);
   void act(const ResetFlow &R, const std::uint8_t *Data, std::size_t Size);
   void act(const Dropped &D, const std::uint8_t *Data, std::size_t Size);
@@ -106,15 +109,16 @@
   PacketSettings Settings_;
   SettingsWatch Watch_;
   PlatformHooks Hooks_;
+  UdpSocket Packets_; ///< First: what comes from now on waits in it.
   DelayMetrics Delays_;
   RoutingTablePtr Routing_;
   PacketBalancer Core_;
+  HeldPackets Held_; ///< Until the core is ready.
   UpstreamChecker Checker_;
   IntentReader Reader_;
   IntentCaller Call_;
   PeerLinks Links_;
   NewsExchange News_;
-  UdpSocket Packets_;
   HttpServer Readiness_;
   std::optional<HttpServer> Metrics_;
   ServiceLog ServiceLog_;
@@ -136,6 +140,9 @@
                           std::string SettingsPath, PlatformHooks Hooks)
     : Context_(Context), Settings_(Configured), Watch_(std::move(SettingsPath)),
       Hooks_(std::move(Hooks)),
+      Packets_(Context, Settings_.Packets_,
+               [this](const Endpoint &, const std::uint8_t *Data,
+                      std::size_t Size) { onPacket(Data, Size); }),
       Core_(makeCore(
           Settings_,
           [this](ServiceId S, DelayClass C, Micros Delay) {
@@ -152,9 +159,6 @@
       Call_(Hooks_.MakeCaller_(Context, Settings_.Configuration_)),
       Links_(Context, Settings_.Control_, MaxNewsMessage, linkHooks()),
       News_(newsOptions(Settings_), newsHooks()),
-      Packets_(Context, Settings_.Packets_,
-               [this](const Endpoint &, const std::uint8_t *Data,
-                      std::size_t Size) { onPacket(Data, Size); }),
       Readiness_(
           Context, Settings_.Readiness_,
           [this](const std::string &Path) { return readinessPage(Path); }),
@@ -169,6 +173,12 @@
 
 void PacketProcess::Impl::onPacket(const std::uint8_t *Data, std::size_t Size) {
   LastPacket_ = now();
+  if (!Core_.ready())
+    return Held_.hold(LastPacket_, Data, Size);
+  steer(Data, Size);
+}
+
+void PacketProcess::Impl::steer(const std::uint8_t *Data, std::size_t Size) {
   Packet P;
   if (!Hooks_.Decode_(Data, Size, P)) {
     ++Malformed_;
@@ -213,11 +223,7 @@
     flushLog();
     NextTick_ = Now + PacketBalancer::TickEvery;
   }
-  if (Core_.ready() && !ReadyTold_) {
-    ReadyTold_ = true;
-    logState("ready", {{"routing_version", Routing_->Version_},
-                       {"revision", News_.through()}});
-  }
+  noteReady();
   startCall(Now);
   Timer_.expires_at(
       steady(std::min(NextTick_, Reader_.dueAt(News_.readFrom()))));
@@ -227,6 +233,19 @@
   });
 }
 
+/// Once there is something to steer by: sends on what has waited for it.
+void PacketProcess::Impl::noteReady() {
+  if (ReadyTold_ || !Core_.ready())
+    return;
+  ReadyTold_ = true;
+  logState("ready", {{"routing_version", Routing_->Version_},
+                     {"revision", News_.through()},
+                     {"held_packets", Held_.size()}});
+  Held_.release(now(), [this](const std::uint8_t *Data, std::size_t Size) {
+    steer(Data, Size);
+  });
+}
+
 /// After a stop signal: forwards until the fabric sends nothing any more.
 void PacketProcess::Impl::endWhenQuiet(MonoTime Now) {
   bool Quiet = Now >= StopFrom_ && Now - LastPacket_ >= QuietFor;
@@ -279,8 +298,10 @@
   MonoTime Now = now();
   NewsMessage M;
   ErrorKind Kind = decodeNews(Bytes, Now, M);
-  if (Kind == ErrorKind::None)
-    return News_.received(Now, Link, M);
+  if (Kind == ErrorKind::None) {
+    News_.received(Now, Link, M);
+    return noteReady();
+  }
   logState("peer_message_refused",
            {{"reason", std::string(errorRow(Kind).Name_)}});
   Links_.close(Link);
--- /dev/null
+++ b/test/held-packets-test.cc
@@ -0,0 +1,50 @@
+#include "thymewall/held-packets.h"
+
+#include <doctest/doctest.h>
+
+using namespace thymewall;
+using namespace std::chrono_literals;
+
+namespace {
+
+MonoTime at(std::chrono::milliseconds Time) { return MonoTime(10s + Time); }
+
+std::vector<std::uint8_t> released(HeldPackets &Held, MonoTime Now) {
+  std::vector<std::uint8_t> First;
+  Held.release(Now, [&](const std::uint8_t *Data, std::size_t Size) {
+    REQUIRE(Size == 2);
+    First.push_back(Data[0]);
+  });
+  return First;
+}
+
+} // namespace
+
+TEST_CASE("packets wait in order, and are released once") {
+  HeldPackets Held;
+  for (std::uint8_t I = 0; I < 5; ++I) {
+    std::uint8_t Data[] = {I, 0};
+    Held.hold(at(std::chrono::milliseconds(I)), Data, 2);
+  }
+  CHECK(released(Held, at(50ms)) == std::vector<std::uint8_t>{0, 1, 2, 3, 4});
+  CHECK(released(Held, at(50ms)).empty());
+}
+
+TEST_CASE("what its sender has given up is not sent on") {
+  HeldPackets Held;
+  std::uint8_t Old[] = {1, 0};
+  std::uint8_t Young[] = {2, 0};
+  Held.hold(at(0ms), Old, 2);
+  Held.hold(at(1000ms), Young, 2);
+  CHECK(released(Held, at(1300ms)) == std::vector<std::uint8_t>{2});
+}
+
+TEST_CASE("the number of packets is bounded; the oldest go") {
+  HeldPackets Held;
+  for (std::size_t I = 0; I < HeldPackets::Bound + 10; ++I) {
+    std::uint8_t Data[] = {static_cast<std::uint8_t>(I), 0};
+    Held.hold(at(0ms), Data, 2);
+  }
+  CHECK(Held.size() == HeldPackets::Bound);
+  CHECK(released(Held, at(1ms)).front() == 10);
+}
--- /dev/null
+++ b/test/packet-settings-test.cc
@@ -0,0 +1,83 @@
+#include "thymewall/packet-settings.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace thymewall;
+using Json = nlohmann::json;
+
+namespace {
+
+Json good() {
+  return {{"name", "lb-1"},
+          {"data_hall", "hall-a"},
+          {"packets", "10.0.0.1:8172"},
+          {"readiness", "10.0.0.1:8167"},
+          {"control", "10.0.0.1:8166"},
+          {"configuration", "10.9.0.1:8169"},
+          {"metrics_port", 9464},
+          {"seeds", {"10.0.0.2:8166"}},
+          {"routing_within_ms", 3000},
+          {"stop_within_ms", 6000},
+          {"flow_limit_ms", 60000}};
+}
+
+Problems problems(const Json &Settings) {
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<Problems> {
+        BOOST_LEAF_CHECK(parsePacketSettings(Settings.dump(), "s.json"));
+        return Problems{};
+      },
+      [](const Problems &Found) { return Found; },
+      [] {
+        return Problems{{"", "", "unknown"}};
+      });
+}
+
+PacketSettings parsed(const Json &Settings) {
+  return boost::leaf::try_handle_all(
+      [&] { return parsePacketSettings(Settings.dump(), "s.json"); },
+      [] { return PacketSettings{}; });
+}
+
+} // namespace
+
+TEST_CASE("good settings") {
+  CHECK(problems(good()).empty());
+  PacketSettings S = parsed(good());
+  CHECK(S.Packets_ == parseEndpoint("10.0.0.1:8172"));
+  CHECK(S.RoutingWithin_ == std::chrono::seconds(3));
+  CHECK(S.Seeds_.size() == 1);
+}
+
+TEST_CASE("every bad key is told with its reason") {
+  Json Bad = good();
+  Bad["packets"] = "nowhere";
+  Bad["metrics_port"] = 70000;
+  Bad["seeds"] = {"x"};
+  Bad["flow_limit_ms"] = 0;
+  Bad["other"] = 1;
+  Bad.erase("name");
+  Problems Found = problems(Bad);
+  std::vector<std::string> Keys;
+  for (const Problem &P : Found) {
+    CHECK(P.File_ == "s.json");
+    CHECK_FALSE(P.Reason_.empty());
+    Keys.push_back(P.Key_);
+  }
+  std::sort(Keys.begin(), Keys.end());
+  CHECK(Keys == std::vector<std::string>{"flow_limit_ms", "metrics_port",
+                                         "name", "other", "packets",
+                                         "seeds[0]"});
+}
+
+TEST_CASE("what can't change while a process runs is named") {
+  Json Changed = good();
+  Changed["packets"] = "10.0.0.1:9999";
+  Changed["seeds"] = Json::array();
+  Changed["flow_limit_ms"] = 1000;
+  CHECK(needRestart(parsed(good()), parsed(Changed)) ==
+        std::vector<std::string>{"packets"});
+  CHECK(needRestart(parsed(good()), parsed(good())).empty());
+}
--- /dev/null
+++ b/test/upstream-check-test.cc
@@ -0,0 +1,231 @@
+// When a packet balancer holds an upstream to be dead and resets its flows, and
+// when it must not.
+#include "thymewall/packet-balancer.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace thymewall;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Endpoint ServiceAt = Endpoint::v4(0xc6120001, 8443);
+
+MonoTime at(std::chrono::milliseconds Time) { return MonoTime(100s + Time); }
+
+UpstreamChange up(std::uint64_t Id, bool Draining = false) {
+  UpstreamEntry E;
+  E.Incarnation_ = Incarnation{Id};
+  E.Service_ = ServiceId{1};
+  E.At_ = Endpoint::v4(static_cast<std::uint32_t>(Id), 9000);
+  E.Draining_ = Draining;
+  return {E.Incarnation_, 1, E};
+}
+
+Packet packet(std::uint16_t Port) {
+  Packet P;
+  P.Caller_ = Endpoint::v4(0x64400007, Port);
+  P.Service_ = ServiceAt;
+  return P;
+}
+
+/// A balancer with three upstreams; records what it asks for.
+class Balancer3 {
+public:
+  Balancer3()
+      : B_(PacketBalancerBuilder()
+               .onCheck([this](const UpstreamCheck &C) {
+                 Checks_.push_back(raw(C.Upstream_));
+               })
+               .onReset([this](const ResetFlow &R) { Resets_.push_back(R); })
+               .build()) {
+    auto Table = std::make_shared<RoutingTable>();
+    Table->Version_ = 1;
+    Table->Addresses_[ServiceAt] = {{ServiceId{1}, 1}};
+    B_.setRouting(at(0ms), Table);
+    B_.applyUpstreams(at(0ms), {up(1), up(2), up(3)});
+  }
+
+  std::uint64_t open(std::chrono::milliseconds Time, std::uint16_t Port,
+                     std::uint32_t Copy = 0) {
+    Packet P = packet(Port);
+    P.Opens_ = true;
+    P.Acknowledged_ = Copy;
+    Verdict V = B_.steer(at(Time), P);
+    const auto *F = std::get_if<Forward>(&V);
+    return F ? raw(F->Upstream_) : 0;
+  }
+
+  /// Data or, with no size, an acknowledgement.
+  void follow(std::chrono::milliseconds Time, std::uint16_t Port,
+              std::uint64_t Upstream, std::uint32_t Acknowledged,
+              std::uint32_t Sequence = 0, std::uint16_t Size = 0) {
+    Packet P = packet(Port);
+    P.Acknowledges_ = true;
+    P.Cookie_ = static_cast<Cookie>(Upstream);
+    P.Acknowledged_ = Acknowledged;
+    P.Sequence_ = Sequence;
+    P.DataSize_ = Size;
+    B_.steer(at(Time), P);
+  }
+
+  /// Opens a flow and sends a request on it, at 0 to 10 ms; gives its upstream.
+  std::uint64_t request(std::uint16_t Port) {
+    std::uint64_t Upstream = open(0ms, Port);
+    follow(5ms, Port, Upstream, 1000);
+    follow(10ms, Port, Upstream, 1000, 1, 100);
+    return Upstream;
+  }
+
+  void checked(std::chrono::milliseconds Time, std::uint64_t Upstream,
+               CheckResult Result, std::chrono::milliseconds Began) {
+    B_.checked(at(Time), Incarnation{Upstream}, Result, at(Began));
+  }
+
+  PacketBalancer B_;
+  std::vector<std::uint64_t> Checks_;
+  std::vector<ResetFlow> Resets_;
+};
+
+} // namespace
+
+TEST_CASE("a request sent again without progress asks for a check, once a "
+          "second") {
+  Balancer3 B;
+  std::uint64_t Up = B.request(1);
+  CHECK(B.Checks_.empty());
+  B.follow(210ms, 1, Up, 1000, 1, 100);
+  REQUIRE(B.Checks_ == std::vector<std::uint64_t>{Up});
+  B.follow(610ms, 1, Up, 1000, 1, 100);
+  CHECK(B.Checks_.size() == 1);
+  B.follow(1410ms, 1, Up, 1000, 1, 100);
+  CHECK(B.Checks_.size() == 2);
+  CHECK(B.Resets_.empty());
+}
+
+TEST_CASE("a copy of an opening asks for a check of the silent upstream") {
+  Balancer3 B;
+  std::uint64_t First = B.open(0ms, 1);
+  B.open(200ms, 1, 1);
+  CHECK(B.Checks_ == std::vector<std::uint64_t>{First});
+}
+
+TEST_CASE(
+    "proof of death resets every open flow of the upstream and no other") {
+  Balancer3 B;
+  std::set<std::uint16_t> Lost;
+  std::uint64_t Dead = B.request(1);
+  for (std::uint16_t Port = 1; Port <= 60; ++Port)
+    if ((Port == 1 ? Dead : B.request(Port)) == Dead)
+      Lost.insert(Port);
+  REQUIRE(Lost.size() > 1);
+  REQUIRE(Lost.size() < 60);
+  B.follow(210ms, 1, Dead, 1000, 1, 100);
+  B.checked(370ms, Dead, CheckResult::Dead, 210ms);
+  std::set<std::uint16_t> Reset;
+  for (const ResetFlow &R : B.Resets_) {
+    Reset.insert(R.Caller_.Port_);
+    CHECK(R.Service_ == ServiceAt);
+    CHECK(R.Sequence_ == 1000); // the caller takes what it has acknowledged
+  }
+  CHECK(Reset == Lost);
+  CHECK(B.Resets_.size() == Lost.size());
+  for (std::uint16_t Port = 100; Port < 150; ++Port)
+    CHECK(B.open(400ms, Port) != Dead);
+  B.checked(380ms, Dead, CheckResult::Dead, 210ms); // nothing is left to reset
+  CHECK(B.Resets_.size() == Lost.size());
+}
+
+TEST_CASE("an upstream that lives keeps its flows") {
+  SUBCASE("it accepts connections, however slow it is") {
+    Balancer3 B;
+    std::uint64_t Up = B.request(1);
+    B.follow(210ms, 1, Up, 1000, 1, 100);
+    B.checked(215ms, Up, CheckResult::Connected, 210ms);
+    CHECK(B.Resets_.empty());
+  }
+  SUBCASE("the check was disturbed") {
+    Balancer3 B;
+    std::uint64_t Up = B.request(1);
+    B.follow(210ms, 1, Up, 1000, 1, 100);
+    B.checked(900ms, Up, CheckResult::Unclear, 210ms);
+    CHECK(B.Resets_.empty());
+  }
+  SUBCASE("another of its flows went on meanwhile: only the check was cut") {
+    Balancer3 B;
+    std::uint64_t Up = B.request(1);
+    std::uint16_t Other = 2;
+    while (B.request(Other) != Up)
+      ++Other;
+    B.follow(210ms, 1, Up, 1000, 1, 100);
+    B.follow(250ms, Other, Up, 2000);
+    B.checked(370ms, Up, CheckResult::Dead, 210ms);
+    CHECK(B.Resets_.empty());
+  }
+  SUBCASE("it is draining: it ends its flows itself") {
+    Balancer3 B;
+    std::uint64_t Up = B.request(1);
+    B.B_.applyUpstreams(at(100ms), {up(Up, true)});
+    B.follow(210ms, 1, Up, 1000, 1, 100);
+    CHECK(B.Checks_.empty());
+  }
+  SUBCASE("it works on a request for long: the caller sends nothing again") {
+    Balancer3 B;
+    std::uint64_t Up = B.request(1);
+    B.follow(20ms, 1, Up, 1000); // an acknowledgement alone
+    CHECK(B.Checks_.empty());
+  }
+  SUBCASE("a late result of another start at the same place") {
+    Balancer3 B;
+    std::uint64_t Up = B.request(1);
+    B.follow(210ms, 1, Up, 1000, 1, 100);
+    B.checked(370ms, Up + (std::uint64_t{1} << 32), CheckResult::Dead, 210ms);
+    CHECK(B.Resets_.empty());
+  }
+}
+
+TEST_CASE("without proof no flow is ever reset") {
+  rc::check([] {
+    Balancer3 B;
+    auto Now = 0ms;
+    std::vector<std::uint64_t> Ups(10);
+    for (int Step = 0; Step < 120; ++Step) {
+      Now += std::chrono::milliseconds(*rc::gen::inRange(0, 300));
+      auto Port = *rc::gen::inRange<std::uint16_t>(1, 10);
+      auto Id = *rc::gen::inRange<std::uint64_t>(1, 4);
+      auto Number = *rc::gen::inRange<std::uint32_t>(0, 3);
+      switch (*rc::gen::inRange(0, 6)) {
+      case 0:
+        Ups[Port] = B.open(Now, Port, Number);
+        break;
+      case 1:
+      case 2:
+        B.follow(Now, Port, Ups[Port], Number, 7, 100);
+        break;
+      case 3:
+        B.checked(Now, Id,
+                  Number == 0 ? CheckResult::Unclear : CheckResult::Connected,
+                  Now - 160ms);
+        break;
+      case 4:
+        B.B_.applyUpstreams(at(Now), {up(Id, Number == 0)});
+        break;
+      case 5: {
+        // Silent to the check, but a flow of it has gone on since.
+        bool Any = false;
+        for (std::uint16_t P = 1; P < 10 && !Any; ++P)
+          if (Ups[P] == Id) {
+            B.follow(Now, P, Id, 100 + static_cast<std::uint32_t>(Step));
+            Any = true;
+          }
+        if (Any)
+          B.checked(Now, Id, CheckResult::Dead, Now);
+        break;
+      }
+      }
+    }
+    RC_ASSERT(B.Resets_.empty());
+  });
+}
