A fault soak of real processes; operators' commands for packet balancers; operations page

Change: soak/ (configuration service, fabric, upstreams, callers and forwarders in one process; balancers as children; 15 kinds of faults by seed), support/soak; status and route of thymewall-ctl; docs/OPERATIONS.md in place of OPERATING.md; DEVELOPERS.md; incident inc-3ff9; HttpServer answers later where it must; advertised_control; a service that answers a watch early is not asked in a loop; whole lists name what the receiver has instead of repeating it (29.5 KB/s a daemon at 300 machines before).

--- a/include/thymewall/held-packets.h
+++ b/include/thymewall/held-packets.h
@@ -23,9 +23,8 @@
   void hold(MonoTime Now, const std::uint8_t *Data, std::size_t Size);
   /// Gives every packet that is not too old to \p Take, oldest first, and
   /// forgets all.
-  void release(MonoTime Now,
-               const std::function<void(const std::uint8_t *Data,
-                                        std::size_t Size)> &Take);
+  void release(MonoTime Now, const std::function<void(const std::uint8_t *Data,
+                                                      std::size_t Size)> &Take);
   std::size_t size() const { return Packets_.size(); }
 
 private:
--- a/include/thymewall/intent-reader.h
+++ b/include/thymewall/intent-reader.h
@@ -74,7 +74,8 @@
   MonoTime completeAt() const { return CompleteAt_; }
 
 private:
-  Micros pauseAfter(const IntentAnswer &Answer, std::size_t Fleet);
+  Micros pauseAfter(MonoTime Now, const IntentAnswer &Answer,
+                    std::size_t Fleet);
 
   double Spread_;
   Revision Through_ = 0;
--- a/include/thymewall/packet-settings.h
+++ b/include/thymewall/packet-settings.h
@@ -12,10 +12,11 @@
 struct PacketSettings {
   std::string Name_;
   std::string DataHall_;
-  Endpoint Packets_;       ///< Callers' packets arrive here.
-  Endpoint Readiness_;     ///< Asked by the fabric.
-  Endpoint Control_;       ///< Peers find this process here.
-  Endpoint Configuration_; ///< The configuration service.
+  Endpoint Packets_;           ///< Callers' packets arrive here.
+  Endpoint Readiness_;         ///< Asked by the fabric.
+  Endpoint Control_;           ///< Peers' connections arrive here.
+  Endpoint AdvertisedControl_; ///< What peers are told; default: the same.
+  Endpoint Configuration_;     ///< The configuration service.
   std::uint16_t MetricsPort_ = 0;
   std::vector<Endpoint> Seeds_; ///< Control addresses of a few peers.
   Micros RoutingWithin_{};      ///< A routing table must be in force by then.
--- a/include/thymewall/upstream-list.h
+++ b/include/thymewall/upstream-list.h
@@ -41,12 +41,15 @@
 };
 
 /// Changes that are complete from just after `After_` through `Through_`.
-/// A whole list has `Whole_`: upstreams that it lacks are gone.
+/// A whole list has `Whole_`: upstreams that it lacks are gone. For a receiver
+/// that is complete through `After_` it only names, in `Unchanged_`, what has
+/// not changed since.
 struct UpstreamBatch {
   bool Whole_ = false;
   Revision After_ = 0;
   Revision Through_ = 0;
   std::vector<UpstreamChange> Changes_;
+  std::vector<Incarnation> Unchanged_;
 };
 
 /// The upstreams, complete through a revision.
--- /dev/null
+++ b/soak/soak-process.h
@@ -0,0 +1,68 @@
+/// \file
+/// A balancer's process in a soak, and a TCP forwarder in front of its control
+/// address that can hold connections up, or reset them.
+#ifndef THYMEWALL_SOAK_PROCESS_H
+#define THYMEWALL_SOAK_PROCESS_H
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <list>
+#include <memory>
+#include <string>
+#include <sys/types.h>
+
+namespace thymewall::soak {
+
+class BalancerChild {
+public:
+  /// \p Folder takes the settings and the log of each process.
+  BalancerChild(std::string Program, std::string Folder, std::size_t Index,
+                std::size_t Count);
+  ~BalancerChild(); ///< Ends the process, by its id.
+
+  void start();
+  void signal(int Signal);
+  /// SIGKILL, and waits for the end.
+  void kill();
+  /// True when the process has ended; \p Status is that of `waitpid`.
+  bool ended(int &Status);
+  bool running() const { return Pid_ > 0; }
+  /// Writes the settings; broken ones for `Good` false.
+  void writeSettings(bool Good, int FlowLimitMs = 60'000);
+
+private:
+  std::string Program_;
+  std::string Folder_;
+  std::size_t Index_;
+  std::size_t Count_;
+  pid_t Pid_ = 0;
+};
+
+class Forwarder {
+public:
+  Forwarder(asio::io_context &Context, const std::string &Listen,
+            const std::string &Target, std::uint16_t Port);
+
+  /// Bytes towards the balancer, or from it, wait while this is set.
+  void hold(bool Towards, bool From) {
+    HoldTowards_ = Towards;
+    HoldFrom_ = From;
+  }
+  void resetAll();
+
+private:
+  struct Pair;
+  void accept();
+  void pump(const std::shared_ptr<Pair> &P, bool Towards);
+
+  asio::io_context &Context_;
+  asio::ip::tcp::acceptor Acceptor_;
+  asio::ip::tcp::endpoint Target_;
+  std::list<std::weak_ptr<Pair>> Pairs_;
+  bool HoldTowards_ = false;
+  bool HoldFrom_ = false;
+};
+
+} // namespace thymewall::soak
+
+#endif
--- a/src/ctl-main.cc
+++ b/src/ctl-main.cc
@@ -1,4 +1,5 @@
 // thymewall-ctl: the operators' command.
+#include "ctl-packet.h"
 #include "program.h"
 #include "thymewall/host-list.h"
 #include "thymewall/settings.h"
@@ -166,6 +167,10 @@
       AllAnswered = false;
       continue;
     }
+    if (isPacketStatus(*Page)) {
+      printPacketStatus(*Page, std::cout);
+      continue;
+    }
     const Json &C = Page->at("counters");
     std::cout << Page->at("name").get<std::string>() << ": version "
               << Page->at("version")
@@ -181,6 +186,20 @@
   return AllAnswered ? ExitDone : ExitFoundWrong;
 }
 
+/// Where new flows of a callers' address go at each packet balancer.
+int route(const std::string &Where, const std::vector<std::string> &Addresses) {
+  bool AllKnow = true;
+  for (const std::string &Address : Addresses) {
+    std::optional<Json> Page = fetchStatus(Address);
+    if (!Page)
+      std::cout << Address << ": no answer\n";
+    bool Known =
+        Page && isPacketStatus(*Page) && printRoute(*Page, Where, std::cout);
+    AllKnow = AllKnow && Known;
+  }
+  return AllKnow ? ExitDone : ExitFoundWrong;
+}
+
 /// Waits until every balancer has a version in force; prints the seconds.
 int waitFor(const std::vector<std::string> &Addresses, Version Wanted,
             int TimeoutSeconds) {
@@ -215,12 +234,15 @@
 
 int run(int Count, char **Values) {
   cxxopts::Options Options(
-      "thymewall-ctl", "Checks declarations and asks balancers.\n"
-                       "  check FILE...         all faults of documents\n"
-                       "  explain SERVICE FILE  who serves it, and why not\n"
-                       "  diff OLD NEW          what a change would move\n"
-                       "  status ADDRESS...     what balancers are doing\n"
-                       "  wait ADDRESS...       until --is is in force");
+      "thymewall-ctl",
+      "Checks declarations and asks balancers.\n"
+      "  check FILE...         all faults of documents\n"
+      "  explain SERVICE FILE  who serves it, and why not\n"
+      "  diff OLD NEW          what a change would move\n"
+      "  status ADDRESS...     what balancers are doing\n"
+      "  route WHERE ADDRESS...  where new flows to an address "
+      "of callers go\n"
+      "  wait ADDRESS...       until --is is in force");
   Options.add_options()("at", "time, such as 2026-12-02T18:30Z (default: now)",
                         cxxopts::value<std::string>())(
       "is", "version to wait for",
@@ -250,6 +272,9 @@
     return diff(Words, When);
   if (Command == "status")
     return status(addresses(Words, Arguments));
+  if (Command == "route" && !Words.empty())
+    return route(Words.front(),
+                 addresses({Words.begin() + 1, Words.end()}, Arguments));
   if (Command == "wait")
     return waitFor(addresses(Words, Arguments), Arguments["is"].as<Version>(),
                    Arguments["timeout"].as<int>());
--- a/src/held-packets.cc
+++ b/src/held-packets.cc
@@ -9,10 +9,9 @@
     Packets_.pop_front();
 }
 
-void HeldPackets::release(
-    MonoTime Now,
-    const std::function<void(const std::uint8_t *Data, std::size_t Size)>
-        &Take) {
+void HeldPackets::release(MonoTime Now,
+                          const std::function<void(const std::uint8_t *Data,
+                                                   std::size_t Size)> &Take) {
   std::deque<Held> Packets;
   Packets.swap(Packets_);
   for (const Held &Packet : Packets)
--- a/src/http-server.cc
+++ b/src/http-server.cc
@@ -2,6 +2,7 @@
 
 #include "udp-socket.h"
 
+#include <algorithm>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
@@ -88,11 +89,15 @@
 
   void answer() {
     const auto &Request = Parser_->get();
-    std::string Path(Request.target());
-    Path.resize(std::min(Path.find('?'), Path.size()));
-    HttpPage Page{405, "text/plain", ""};
-    if (Request.method() == http::verb::get)
-      Page = (*Pages_)(Path);
+    std::string Target(Request.target());
+    if (Request.method() != http::verb::get)
+      return write({405, "text/plain", ""});
+    (*Pages_)(Target, [Self = shared_from_this()](const HttpPage &Page) {
+      Self->write(Page);
+    });
+  }
+
+  void write(const HttpPage &Page) {
     Text_ = render(Page);
     bool Kept = Parser_->keep_alive();
     asio::async_write(Socket_, asio::buffer(Text_),
--- a/src/http-server.h
+++ b/src/http-server.h
@@ -18,10 +18,19 @@
   std::string Body_;
 };
 
+/// The path of a target, without its query.
+inline std::string pathOf(const std::string &Target) {
+  return Target.substr(0, Target.find('?'));
+}
+
 class HttpServer {
 public:
-  /// Makes the page of a path; status 404 for one that there is not.
-  using Source = std::function<HttpPage(const std::string &Path)>;
+  /// Gives a page back, now or later.
+  using Reply = std::function<void(const HttpPage &Page)>;
+  /// Makes the page of a target (path and query); status 404 for one that there
+  /// is not.
+  using Source =
+      std::function<void(const std::string &Target, const Reply &Answer)>;
 
   /// Throws `std::system_error` when the address can't be bound.
   HttpServer(asio::io_context &Context, const Endpoint &Where, Source Pages);
--- a/src/intent-reader.cc
+++ b/src/intent-reader.cc
@@ -40,7 +40,7 @@
 void IntentReader::answered(MonoTime Now, const IntentAnswer &Answer,
                             std::size_t Fleet) {
   UnderWay_ = false;
-  DueAt_ = Now + pauseAfter(Answer, Fleet);
+  DueAt_ = Now + pauseAfter(Now, Answer, Fleet);
   switch (Answer.Outcome_) {
   case IntentAnswer::Outcome::Done:
     known(Answer.Batch_.Through_);
@@ -58,10 +58,13 @@
   }
 }
 
-Micros IntentReader::pauseAfter(const IntentAnswer &Answer, std::size_t Fleet) {
+Micros IntentReader::pauseAfter(MonoTime Now, const IntentAnswer &Answer,
+                                std::size_t Fleet) {
   if (Answer.Outcome_ == IntentAnswer::Outcome::Done) {
     FailurePause_ = FirstPause;
-    return bringsNews(Answer) ? PauseAfterNews : Micros(0);
+    // A service that doesn't wait must not be asked without a pause.
+    bool Early = Now < WaitUntil_;
+    return bringsNews(Answer) || Early ? PauseAfterNews : Micros(0);
   }
   if (Answer.Outcome_ == IntentAnswer::Outcome::HistoryGone)
     return Micros(0);
--- a/src/news-message.cc
+++ b/src/news-message.cc
@@ -63,6 +63,9 @@
   Json Changes = Json::array();
   for (const UpstreamChange &Change : M.Upstreams_.Changes_)
     Changes.push_back(toJson(Change, Now));
+  Json Unchanged = Json::array();
+  for (Incarnation Which : M.Upstreams_.Unchanged_)
+    Unchanged.push_back(raw(Which));
   Json Table = M.Routing_ ? toJson(*M.Routing_) : Json(nullptr);
   return {
       raw(Type::News),       Table,   M.Upstreams_.Whole_, M.Upstreams_.After_,
@@ -153,6 +156,9 @@
   for (const Json &Item : J.at(5))
     M.Upstreams_.Changes_.push_back(changeFrom(Item, Now));
   M.KnownAgeMs_ = J.at(6).get<std::uint32_t>();
+  for (const Json &Item : J.at(7))
+    M.Upstreams_.Unchanged_.push_back(
+        static_cast<Incarnation>(Item.get<std::uint64_t>()));
   return M;
 }
 
--- a/src/packet-pages.cc
+++ b/src/packet-pages.cc
@@ -75,6 +75,18 @@
           {"why_not", U.NotChosen_}};
 }
 
+Json addressesJson(const RoutingTable &Table) {
+  Json Result = Json::array();
+  for (const auto &[At, Shares] : Table.Addresses_) {
+    Json List = Json::array();
+    for (const ServiceShare &S : Shares)
+      List.push_back(
+          {{"service", Table.nameOf(S.Service_)}, {"weight", S.Weight_}});
+    Result.push_back({{"address", formatEndpoint(At)}, {"shares", List}});
+  }
+  return Result;
+}
+
 std::string statusText(const PacketReport &R) {
   Json Upstreams = Json::array();
   for (const SteeredUpstream &U : R.Status_.Upstreams_)
@@ -88,16 +100,18 @@
   Json Counters = Json::object();
   for (const Number &N : numbers(R))
     Counters[N.first] = N.second;
-  Json Page = {{"kind", "packet"},
-               {"name", R.Name_},
-               {"version", R.Status_.RoutingVersion_},
-               {"ready", R.Ready_},
-               {"stopping", R.Stopping_},
-               {"reads_for_fleet", R.Reads_},
-               {"knowledge_age_ms", knowledgeAgeMs(R)},
-               {"counters", std::move(Counters)},
-               {"upstreams", std::move(Upstreams)},
-               {"peers", std::move(Peers)}};
+  Json Page = {
+      {"kind", "packet"},
+      {"name", R.Name_},
+      {"version", R.Status_.RoutingVersion_},
+      {"ready", R.Ready_},
+      {"stopping", R.Stopping_},
+      {"reads_for_fleet", R.Reads_},
+      {"knowledge_age_ms", knowledgeAgeMs(R)},
+      {"counters", std::move(Counters)},
+      {"addresses", R.Routing_ ? addressesJson(*R.Routing_) : Json::array()},
+      {"upstreams", std::move(Upstreams)},
+      {"peers", std::move(Peers)}};
   return Page.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -52,7 +52,7 @@
 }
 
 NewsOptions newsOptions(const PacketSettings &S) {
-  return {{S.Name_, S.DataHall_, S.Control_, 0}, S.Seeds_};
+  return {{S.Name_, S.DataHall_, S.AdvertisedControl_, 0}, S.Seeds_};
 }
 
 const char *nameOf(DelayClass Class) {
@@ -161,7 +161,9 @@
       News_(newsOptions(Settings_), newsHooks()),
       Readiness_(
           Context, Settings_.Readiness_,
-          [this](const std::string &Path) { return readinessPage(Path); }),
+          [this](const std::string &Target, const HttpServer::Reply &Answer) {
+            Answer(readinessPage(pathOf(Target)));
+          }),
       Timer_(Context), Signals_(Context, SIGTERM, SIGINT, SIGHUP) {
   NextSettingsLook_ = now() + SettingsLookEvery;
   awaitSignal();
@@ -340,9 +342,11 @@
   Endpoint Where = Settings_.Readiness_;
   Where.Port_ = Settings_.MetricsPort_;
   try {
-    Metrics_.emplace(Context_, Where, [this](const std::string &Path) {
-      return packetPage(report(), Path);
-    });
+    Metrics_.emplace(
+        Context_, Where,
+        [this](const std::string &Target, const HttpServer::Reply &Answer) {
+          Answer(packetPage(report(), pathOf(Target)));
+        });
   } catch (const std::system_error &Error) {
     logState("metrics_not_served",
              {{"address", formatEndpoint(Where)}, {"reason", Error.what()}});
--- a/src/packet-settings.cc
+++ b/src/packet-settings.cc
@@ -20,8 +20,8 @@
 bool operator==(const PacketSettings &A, const PacketSettings &B) {
   auto Fields = [](const PacketSettings &S) {
     return std::tie(S.Name_, S.DataHall_, S.Packets_, S.Readiness_, S.Control_,
-                    S.Configuration_, S.MetricsPort_, S.Seeds_,
-                    S.RoutingWithin_, S.StopWithin_, S.FlowLimit_);
+                    S.AdvertisedControl_, S.Configuration_, S.MetricsPort_,
+                    S.Seeds_, S.RoutingWithin_, S.StopWithin_, S.FlowLimit_);
   };
   return Fields(A) == Fields(B);
 }
@@ -39,6 +39,9 @@
   S.Packets_ = Reader.endpoint("packets");
   S.Readiness_ = Reader.endpoint("readiness");
   S.Control_ = Reader.endpoint("control");
+  S.AdvertisedControl_ = Reader.has("advertised_control")
+                             ? Reader.endpoint("advertised_control")
+                             : S.Control_;
   S.Configuration_ = Reader.endpoint("configuration");
   S.MetricsPort_ =
       static_cast<std::uint16_t>(Reader.integer("metrics_port", 1, 65535));
@@ -64,6 +67,8 @@
   Compare("packets", Running.Packets_ == Wanted.Packets_);
   Compare("readiness", Running.Readiness_ == Wanted.Readiness_);
   Compare("control", Running.Control_ == Wanted.Control_);
+  Compare("advertised_control",
+          Running.AdvertisedControl_ == Wanted.AdvertisedControl_);
   Compare("configuration", Running.Configuration_ == Wanted.Configuration_);
   Compare("metrics_port", Running.MetricsPort_ == Wanted.MetricsPort_);
   return Keys;
--- a/src/upstream-list.cc
+++ b/src/upstream-list.cc
@@ -7,7 +7,7 @@
 
 bool UpstreamList::apply(const UpstreamBatch &Batch,
                          std::vector<UpstreamChange> &Applied) {
-  if (!Batch.Whole_ && Batch.After_ > Through_)
+  if (Batch.After_ > Through_)
     return false;
   if (Batch.Through_ <= Through_ && Through_ != 0)
     return true;
@@ -40,7 +40,8 @@
 
 void UpstreamList::applyAbsences(const UpstreamBatch &Batch,
                                  std::vector<UpstreamChange> &Applied) {
-  std::set<Incarnation> Present;
+  std::set<Incarnation> Present(Batch.Unchanged_.begin(),
+                                Batch.Unchanged_.end());
   for (const UpstreamChange &Change : Batch.Changes_)
     if (Change.Entry_)
       Present.insert(Change.Incarnation_);
@@ -71,11 +72,14 @@
 UpstreamBatch UpstreamList::since(Revision After) const {
   UpstreamBatch Batch;
   Batch.Whole_ = After < EndsKnownAfter_ || After == 0;
-  Batch.After_ = Batch.Whole_ ? 0 : After;
+  Batch.After_ = After;
   Batch.Through_ = Through_;
-  for (const auto &[Which, Known] : Entries_)
-    if (Batch.Whole_ || Known.At_ > After)
+  for (const auto &[Which, Known] : Entries_) {
+    if (Known.At_ > After)
       Batch.Changes_.push_back({Which, Known.At_, Known.Entry_});
+    else if (Batch.Whole_)
+      Batch.Unchanged_.push_back(Which);
+  }
   if (Batch.Whole_)
     return Batch;
   for (auto End = Ends_.upper_bound(After); End != Ends_.end(); ++End)
--- a/test/intent-reader-test.cc
+++ b/test/intent-reader-test.cc
@@ -96,6 +96,14 @@
   CHECK(Reader.completeAt() == at(516ms));
 }
 
+TEST_CASE("a service that answers a watch at once without news is not asked "
+          "without a pause") {
+  IntentReader Reader = started();
+  REQUIRE(Reader.next(at(10ms), {}));
+  Reader.answered(at(14ms), answer(Outcome::Done, 5), 1);
+  CHECK(Reader.dueAt({}) == at(14ms) + IntentReader::PauseAfterNews);
+}
+
 TEST_CASE("pauses after failures grow with the fleet and end with an answer") {
   for (std::size_t Fleet : {std::size_t{1}, std::size_t{90}}) {
     IntentReader Reader(0.5);
--- a/test/news-test.cc
+++ b/test/news-test.cc
@@ -183,7 +183,8 @@
   Table->ServiceNames_[nameId("index")] = "index";
   News M;
   M.Routing_ = Table;
-  M.Upstreams_ = {false, 5, 9, {{Incarnation{1}, 6, std::nullopt}}};
+  M.Upstreams_ = {
+      false, 5, 9, {{Incarnation{1}, 6, std::nullopt}}, {Incarnation{4}}};
   UpstreamEntry E;
   E.Incarnation_ = Incarnation{2};
   E.Service_ = ServiceId{3};
@@ -204,6 +205,7 @@
         "index");
   CHECK(Got.Upstreams_.Changes_[1].Entry_ == E);
   CHECK_FALSE(Got.Upstreams_.Changes_[0].Entry_);
+  CHECK(Got.Upstreams_.Unchanged_ == M.Upstreams_.Unchanged_);
   rc::check([&] {
     std::string Damaged = Bytes;
     auto Cut = *rc::gen::inRange<std::size_t>(0, Damaged.size());
--- /dev/null
+++ b/test/packet-pages-test.cc
@@ -0,0 +1,78 @@
+#include "packet-pages.h"
+
+#include "ctl-packet.h"
+
+#include <doctest/doctest.h>
+#include <sstream>
+
+using namespace thymewall;
+using namespace thymewall::detail;
+
+namespace {
+
+/// The report of a balancer with one upstream that drains and one that serves.
+struct Reported {
+  Reported() {
+    auto Table = std::make_shared<RoutingTable>();
+    auto Index = static_cast<ServiceId>(nameId("index"));
+    Table->Version_ = 7;
+    Table->Addresses_[parseEndpoint("198.18.0.1:8443")] = {{Index, 1}};
+    Table->ServiceNames_[raw(Index)] = "index";
+    Report_.Name_ = "lb-1";
+    Report_.Ready_ = true;
+    Report_.Routing_ = Table;
+    Report_.Now_ = MonoTime(std::chrono::seconds(20));
+    Report_.Status_.RoutingVersion_ = 7;
+    Report_.Status_.KnownAsOf_ = MonoTime(std::chrono::milliseconds(19'500));
+    Report_.Status_.Upstreams_ = {
+        {Incarnation{0xab}, "hall-a", Index, {}, "draining"},
+        {Incarnation{0xcd}, "hall-b", Index, {}, ""}};
+    Report_.Peers_ = {
+        {{"lb-2", "hall-b", parseEndpoint("10.0.0.2:8166"), 0}, true}};
+    Report_.Delays_ = &Delays_;
+    Delays_.record("index", "open", std::chrono::milliseconds(6));
+  }
+
+  nlohmann::json status() const {
+    return nlohmann::json::parse(packetPage(Report_, "/status").Body_);
+  }
+
+  DelayMetrics Delays_;
+  PacketReport Report_;
+};
+
+} // namespace
+
+TEST_CASE("metrics hold counters, the age of knowledge and delays") {
+  Reported R;
+  HttpPage Page = packetPage(R.Report_, "/metrics");
+  CHECK(Page.Status_ == 200);
+  CHECK(Page.Body_.find("thymewall_knowledge_age_ms 500\n") !=
+        std::string::npos);
+  CHECK(Page.Body_.find("thymewall_routing_version 7\n") != std::string::npos);
+  CHECK(Page.Body_.find("thymewall_delay_seconds") != std::string::npos);
+  CHECK(packetPage(R.Report_, "/histograms").Status_ == 200);
+  CHECK(packetPage(R.Report_, "/other").Status_ == 404);
+}
+
+TEST_CASE("the operators' command tells why an upstream is not chosen") {
+  Reported R;
+  std::ostringstream Out;
+  REQUIRE(isPacketStatus(R.status()));
+  printPacketStatus(R.status(), Out);
+  CHECK(Out.str().find("lb-1: routing version 7, known as of 500 ms ago") == 0);
+  CHECK(Out.str().find("ab at") != std::string::npos);
+  CHECK(Out.str().find("draining") != std::string::npos);
+  CHECK(Out.str().find("cd at") == std::string::npos); // serves: no line
+  CHECK(Out.str().find("peer lb-2 in hall-b, linked") != std::string::npos);
+}
+
+TEST_CASE("the operators' command tells where new flows of an address go") {
+  Reported R;
+  std::ostringstream Out;
+  CHECK(printRoute(R.status(), "198.18.0.1:8443", Out));
+  CHECK(Out.str().find("cd at") != std::string::npos);
+  CHECK(Out.str().find("takes new flows") != std::string::npos);
+  CHECK_FALSE(printRoute(R.status(), "198.18.0.9:1", Out));
+  CHECK(Out.str().find("no address 198.18.0.9:1") != std::string::npos);
+}
--- a/test/upstream-list-test.cc
+++ b/test/upstream-list-test.cc
@@ -32,7 +32,8 @@
 /// What a list holds, as identifiers and slots.
 std::map<std::uint64_t, std::uint32_t> contents(const UpstreamList &List) {
   std::map<std::uint64_t, std::uint32_t> Result;
-  for (const UpstreamChange &C : List.since(0).Changes_)
+  UpstreamBatch All = List.since(0);
+  for (const UpstreamChange &C : All.Changes_)
     if (C.Entry_)
       Result[raw(C.Incarnation_)] = C.Entry_->Slots_;
   return Result;
@@ -42,28 +43,28 @@
 
 TEST_CASE("a batch that starts after what is known is a gap") {
   UpstreamList List;
-  REQUIRE(apply(List, {true, 0, 10, {put(1, 4), put(2, 9)}}));
-  CHECK_FALSE(apply(List, {false, 12, 14, {put(3, 13)}}));
+  REQUIRE(apply(List, {true, 0, 10, {put(1, 4), put(2, 9)}, {}}));
+  CHECK_FALSE(apply(List, {false, 12, 14, {put(3, 13)}, {}}));
   CHECK(List.through() == 10);
   CHECK(List.size() == 2);
-  CHECK(apply(List, {false, 8, 12, {put(2, 9), gone(1, 11)}}));
+  CHECK(apply(List, {false, 8, 12, {put(2, 9), gone(1, 11)}, {}}));
   CHECK(contents(List) == std::map<std::uint64_t, std::uint32_t>{{2, 1}});
 }
 
 TEST_CASE("an older whole list brings nothing back") {
   UpstreamList List;
-  REQUIRE(apply(List, {true, 0, 10, {put(1, 4), put(2, 9)}}));
-  REQUIRE(apply(List, {false, 10, 11, {gone(1, 11)}}));
-  CHECK(apply(List, {true, 0, 10, {put(1, 4), put(2, 9)}}));
+  REQUIRE(apply(List, {true, 0, 10, {put(1, 4), put(2, 9)}, {}}));
+  REQUIRE(apply(List, {false, 10, 11, {gone(1, 11)}, {}}));
+  CHECK(apply(List, {true, 0, 10, {put(1, 4), put(2, 9)}, {}}));
   CHECK(List.size() == 1);
   CHECK(List.through() == 11);
 }
 
 TEST_CASE("what a whole list lacks is gone, and is told") {
   UpstreamList List;
-  REQUIRE(apply(List, {true, 0, 10, {put(1, 4), put(2, 9)}}));
+  REQUIRE(apply(List, {true, 0, 10, {put(1, 4), put(2, 9)}, {}}));
   std::vector<UpstreamChange> Applied;
-  REQUIRE(List.apply({true, 0, 20, {put(2, 9), put(3, 15)}}, Applied));
+  REQUIRE(List.apply({true, 0, 20, {put(2, 9), put(3, 15)}, {}}, Applied));
   REQUIRE(Applied.size() == 2);
   CHECK(Applied[0].Incarnation_ == Incarnation{3});
   CHECK(Applied[1].Incarnation_ == Incarnation{1});
@@ -73,26 +74,43 @@
 TEST_CASE("an entry listed after the list's own revision stays") {
   // Pages are no snapshot: a later page may hold what changed after the first.
   UpstreamList List;
-  REQUIRE(apply(List, {true, 0, 10, {put(1, 4), put(2, 12)}}));
-  REQUIRE(apply(List, {false, 10, 12, {put(2, 12)}}));
+  REQUIRE(apply(List, {true, 0, 10, {put(1, 4), put(2, 12)}, {}}));
+  REQUIRE(apply(List, {false, 10, 12, {put(2, 12)}, {}}));
   CHECK(List.size() == 2);
 }
 
 TEST_CASE("a peer that is behind is told of changes, or of all when ends are "
           "forgotten") {
   UpstreamList List;
-  REQUIRE(apply(List, {true, 0, 10, {put(1, 4), put(2, 9)}}));
-  REQUIRE(apply(List, {false, 10, 13, {gone(1, 11), put(3, 12)}}));
+  REQUIRE(apply(List, {true, 0, 10, {put(1, 4), put(2, 9)}, {}}));
+  REQUIRE(apply(List, {false, 10, 13, {gone(1, 11), put(3, 12)}, {}}));
   UpstreamBatch Delta = List.since(10);
   CHECK_FALSE(Delta.Whole_);
   CHECK(Delta.Changes_.size() == 2);
   CHECK(List.since(9).Whole_); // ends before the list are not known
   for (Revision R = 14; R < 20 + 2 * UpstreamList::KeptEnds; R += 2)
-    REQUIRE(apply(List, {false, R - 1, R + 1, {put(R, R), gone(R, R + 1)}}));
+    REQUIRE(
+        apply(List, {false, R - 1, R + 1, {put(R, R), gone(R, R + 1)}, {}}));
   CHECK(List.since(13).Whole_);
   CHECK_FALSE(List.since(List.through() - 4).Whole_);
 }
 
+TEST_CASE("a whole list names what the receiver has already") {
+  UpstreamList Sender;
+  UpstreamList Receiver;
+  REQUIRE(
+      apply(Receiver, {true, 0, 10, {put(1, 4), put(2, 9), put(3, 3)}, {}}));
+  REQUIRE(apply(Sender, {true, 0, 20, {put(1, 4), put(2, 15, 7)}, {}}));
+  UpstreamBatch Batch = Sender.since(Receiver.through());
+  CHECK(Batch.Whole_);
+  CHECK(Batch.Changes_.size() == 1);
+  CHECK(Batch.Unchanged_ == std::vector<Incarnation>{Incarnation{1}});
+  REQUIRE(apply(Receiver, Batch));
+  CHECK(contents(Receiver) == contents(Sender));
+  UpstreamList Behind; // not complete through what the sender took for known
+  CHECK_FALSE(apply(Behind, Batch));
+}
+
 TEST_CASE("lists that take overlapping parts of one log in any order, by any "
           "way, end alike") {
   rc::check([] {
@@ -108,7 +126,7 @@
                  : static_cast<void>(Truth[Id] = Slots);
     }
     auto Part = [&](Revision After, Revision Through) {
-      UpstreamBatch Batch{false, After, Through, {}};
+      UpstreamBatch Batch{false, After, Through, {}, {}};
       for (Revision R = After + 1; R <= Through; ++R)
         Batch.Changes_.push_back(Log[R - 1]);
       return Batch;
