--- a/soak/soak-service.cc
+++ b/soak/soak-service.cc
@@ -1,24 +1,15 @@
 #include "soak-world.h"
 
+#include "base64.h"
+
 #include <nlohmann/json.hpp>
-#include <sodium.h>
 
 namespace thymewall::soak {
 
 namespace {
 
 using Json = nlohmann::json;
-
-std::string base64(const std::string &Text) {
-  std::string Result(
-      sodium_base64_encoded_len(Text.size(), sodium_base64_VARIANT_ORIGINAL),
-      '\0');
-  sodium_bin2base64(Result.data(), Result.size(),
-                    reinterpret_cast<const unsigned char *>(Text.data()),
-                    Text.size(), sodium_base64_VARIANT_ORIGINAL);
-  Result.pop_back(); // the terminating zero
-  return Result;
-}
+using test::base64;
 
 std::uint64_t number(const std::string &Target, const std::string &Key) {
   auto At = Target.find(Key + "=");
--- a/src/balancer-process.cc
+++ b/src/balancer-process.cc
@@ -2,7 +2,7 @@
 
 #include "control-plane.h"
 #include "platform-client.h"
-#include "status-server.h"
+#include "status-page.h"
 #include "thymewall/balancer.h"
 #include "thymewall/log.h"
 #include "thymewall/metrics.h"
@@ -129,7 +129,7 @@
   /// Datagrams that never reached the core, by kind.
   decltype(Counters::Errors_) Undecoded_{};
   std::uint64_t Asked_ = 0; ///< By the last `RereadSources`.
-  StatusServer Status_;
+  HttpServer Status_;
 };
 
 BalancerProcess::Impl::Impl(asio::io_context &Context,
@@ -150,7 +150,11 @@
                 [this](const PlatformAnswer &A) { onPlatform(A); }),
       TickTimer_(Context), WatchTimer_(Context),
       Signals_(Context, SIGTERM, SIGINT),
-      Status_(Context, Settings_.Status_, [this] { return report(); }) {
+      Status_(
+          Context, Settings_.Status_,
+          [this](const std::string &Target, const HttpServer::Reply &Reply) {
+            Reply(statusPage(report(), pathOf(Target)));
+          }) {
   Signals_.async_wait([this](const asio::error_code &Error, int) {
     if (Error)
       return;
--- a/src/control-plane.cc
+++ b/src/control-plane.cc
@@ -1,13 +1,11 @@
 #include "control-plane.h"
 
+#include "peer-links.h"
+
 #include <algorithm>
 #include <asio/steady_timer.hpp>
 #include <map>
 #include <set>
-#include <websocketpp/client.hpp>
-#include <websocketpp/config/asio_no_tls.hpp>
-#include <websocketpp/config/asio_no_tls_client.hpp>
-#include <websocketpp/server.hpp>
 
 namespace thymewall::detail {
 
@@ -21,33 +19,10 @@
 constexpr auto SilentAfter = 20s;
 constexpr std::size_t MaxSuccessionsKept = 256;
 
-// The member names are the library's.
-// NOLINTBEGIN(readability-identifier-naming)
-struct ServerConfig : websocketpp::config::asio {
-  static const websocketpp::log::level alog_level =
-      websocketpp::log::alevel::none;
-  static const websocketpp::log::level elog_level =
-      websocketpp::log::elevel::none;
-  static const std::size_t max_message_size = MaxControlMessage;
-};
-struct ClientConfig : websocketpp::config::asio_client {
-  static const websocketpp::log::level alog_level =
-      websocketpp::log::alevel::none;
-  static const websocketpp::log::level elog_level =
-      websocketpp::log::elevel::none;
-  static const std::size_t max_message_size = MaxControlMessage;
-};
-// NOLINTEND(readability-identifier-naming)
-using Server = websocketpp::server<ServerConfig>;
-using Client = websocketpp::client<ClientConfig>;
-using Handle = websocketpp::connection_hdl;
-using HandleLess = std::owner_less<Handle>;
-
 /// One open connection, from either side.
 struct Link {
-  bool Accepted_ = false; ///< The peer opened it.
-  std::string Target_;    ///< Control address, for links that we opened.
-  std::string Peer_;      ///< Name, once a heartbeat came.
+  std::string Target_; ///< Control address; empty when the peer opened it.
+  std::string Peer_;   ///< Name, once a heartbeat came.
 };
 
 struct Document {
@@ -61,7 +36,6 @@
 public:
   Impl(asio::io_context &Context, const Settings &Configured, Incarnation Self,
        ControlHooks Hooks);
-  ~Impl();
 
   void setHosts(HostListPtr Hosts);
   void setDocument(DocumentKind Kind, const DocumentVersion &Which,
@@ -74,36 +48,33 @@
   ControlCounters counters() const;
 
 private:
-  template <typename EndpointType> void prepare(EndpointType &E);
-  void listen();
-  void onOpen(const Handle &Which, bool Accepted, const std::string &Target);
-  void onMessage(const Handle &Which, const std::string &Bytes);
-  void onClose(const Handle &Which, const std::string &Target);
-  void receive(const Handle &Which, const Heartbeat &M);
-  void receive(const Handle &Which, const DocumentWanted &M);
-  void receive(const Handle &Which, const DocumentSent &M);
-  void receive(const Handle &Which, const SuccessionSent &M);
-  void receive(const Handle &Which, const FreshnessAsked &M);
-  void send(const Handle &Which, const ControlMessage &M);
+  PeerLinkHooks linkHooks();
+  void onOpen(LinkId Which, const std::string &Target);
+  void onMessage(LinkId Which, const std::string &Bytes);
+  void receive(LinkId Which, const Heartbeat &M);
+  void receive(LinkId Which, const DocumentWanted &M);
+  void receive(LinkId Which, const DocumentSent &M);
+  void receive(LinkId Which, const SuccessionSent &M);
+  void receive(LinkId Which, const FreshnessAsked &M);
+  void send(LinkId Which, const ControlMessage &M);
   void sendAll(const ControlMessage &M);
   Heartbeat heartbeat() const;
   void learnWatchers(const Heartbeat &M);
   std::vector<WatcherAge> freshestWatchers() const;
   void keepLinks();
   void connect(const std::string &Target);
-  void closeSpareLink(const Handle &Which, const std::string &Peer);
+  void closeSpareLink(LinkId Which, const std::string &Peer);
   bool linkedTo(const std::string &Name, const std::string &Target) const;
   void schedule();
 
   const Settings &Settings_;
   Incarnation Self_;
   ControlHooks Hooks_;
-  Server Server_;
-  Client Client_;
+  PeerLinks Peers_;
   asio::steady_timer Timer_;
   HostListPtr Hosts_;
   std::array<Document, DocumentKinds> Documents_;
-  std::map<Handle, Link, HandleLess> Links_;
+  std::map<LinkId, Link> Links_;
   std::set<std::string> Connecting_;
   std::vector<Host> Chosen_;                   ///< To link to.
   std::map<std::string, std::string> HallOf_;  ///< By balancer name.
@@ -116,64 +87,35 @@
 ControlPlane::Impl::Impl(asio::io_context &Context, const Settings &Configured,
                          Incarnation Self, ControlHooks Hooks)
     : Settings_(Configured), Self_(Self), Hooks_(std::move(Hooks)),
+      Peers_(Context, Settings_.Control_, MaxControlMessage, linkHooks()),
       Timer_(Context) {
-  Server_.init_asio(&Context);
-  Client_.init_asio(&Context);
-  prepare(Server_);
-  prepare(Client_);
-  Server_.set_open_handler([this](const Handle &H) { onOpen(H, true, ""); });
-  listen();
   schedule();
 }
 
-ControlPlane::Impl::~Impl() {
-  websocketpp::lib::error_code Ignored;
-  Server_.stop_listening(Ignored);
-  for (const auto &[Which, L] : Links_) {
-    if (L.Accepted_)
-      Server_.close(Which, websocketpp::close::status::going_away, "", Ignored);
-    else
-      Client_.close(Which, websocketpp::close::status::going_away, "", Ignored);
-  }
-}
-
-template <typename EndpointType>
-void ControlPlane::Impl::prepare(EndpointType &E) {
-  E.set_message_handler(
-      [this](const Handle &H, typename EndpointType::message_ptr M) {
-        onMessage(H, M->get_payload());
-      });
-  E.set_close_handler([this](const Handle &H) { onClose(H, ""); });
-}
-
-void ControlPlane::Impl::listen() {
-  asio::ip::tcp::endpoint Where(
-      asio::ip::make_address(
-          formatEndpoint(Settings_.Control_)
-              .substr(0, formatEndpoint(Settings_.Control_).rfind(':'))),
-      Settings_.Control_.Port_);
-  Server_.set_reuse_addr(true);
-  Server_.listen(Where);
-  Server_.start_accept();
+PeerLinkHooks ControlPlane::Impl::linkHooks() {
+  PeerLinkHooks Result;
+  Result.OnOpen_ = [this](LinkId Which, const std::string &Target) {
+    onOpen(Which, Target);
+  };
+  Result.OnMessage_ = [this](LinkId Which, const std::string &Bytes) {
+    onMessage(Which, Bytes);
+  };
+  Result.OnClose_ = [this](LinkId Which) { Links_.erase(Which); };
+  Result.OnFailed_ = [this](const std::string &Target) {
+    Connecting_.erase(Target);
+  };
+  return Result;
 }
 
-void ControlPlane::Impl::onOpen(const Handle &Which, bool Accepted,
-                                const std::string &Target) {
+void ControlPlane::Impl::onOpen(LinkId Which, const std::string &Target) {
   Connecting_.erase(Target);
-  Links_[Which] = Link{Accepted, Target, ""};
+  Links_[Which] = Link{Target, ""};
   send(Which, heartbeat());
   for (const Succession &S : Successions_)
     send(Which, SuccessionSent{S});
 }
 
-void ControlPlane::Impl::onClose(const Handle &Which,
-                                 const std::string &Target) {
-  Connecting_.erase(Target);
-  Links_.erase(Which);
-}
-
-void ControlPlane::Impl::onMessage(const Handle &Which,
-                                   const std::string &Bytes) {
+void ControlPlane::Impl::onMessage(LinkId Which, const std::string &Bytes) {
   ControlMessage M;
   Counters_.BytesReceived_ += Bytes.size();
   if (decodeControl(Bytes, Settings_.Keys_, M) != ErrorKind::None) {
@@ -183,7 +125,7 @@
   std::visit([&](const auto &Typed) { receive(Which, Typed); }, M);
 }
 
-void ControlPlane::Impl::receive(const Handle &Which, const Heartbeat &M) {
+void ControlPlane::Impl::receive(LinkId Which, const Heartbeat &M) {
   if (M.Name_ == Settings_.Name_)
     return;
   auto Known = Links_.find(Which);
@@ -202,23 +144,23 @@
     Hooks_.OnConfirmed_(M.Answers_);
 }
 
-void ControlPlane::Impl::receive(const Handle &Which, const FreshnessAsked &M) {
+void ControlPlane::Impl::receive(LinkId Which, const FreshnessAsked &M) {
   Heartbeat Answer = heartbeat();
   Answer.Answers_ = M.Asked_;
   send(Which, Answer);
 }
 
-void ControlPlane::Impl::receive(const Handle &Which, const DocumentWanted &M) {
+void ControlPlane::Impl::receive(LinkId Which, const DocumentWanted &M) {
   const Document &D = Documents_[raw(M.Kind_)];
   if (D.Which_.Version_ != 0)
     send(Which, DocumentSent{M.Kind_, D.Text_});
 }
 
-void ControlPlane::Impl::receive(const Handle &, const DocumentSent &M) {
+void ControlPlane::Impl::receive(LinkId, const DocumentSent &M) {
   Hooks_.OnDocument_(M.Kind_, M.Text_);
 }
 
-void ControlPlane::Impl::receive(const Handle &, const SuccessionSent &M) {
+void ControlPlane::Impl::receive(LinkId, const SuccessionSent &M) {
   for (const Succession &S : Successions_)
     if (S.Home_ == M.Succession_.Home_)
       return;
@@ -226,17 +168,9 @@
   Hooks_.OnSuccession_(M.Succession_);
 }
 
-void ControlPlane::Impl::send(const Handle &Which, const ControlMessage &M) {
-  auto Known = Links_.find(Which);
-  if (Known == Links_.end())
-    return;
+void ControlPlane::Impl::send(LinkId Which, const ControlMessage &M) {
   std::string Bytes = encodeControl(M, Settings_.Keys_[0]);
-  websocketpp::lib::error_code Error;
-  constexpr auto Binary = websocketpp::frame::opcode::binary;
-  if (Known->second.Accepted_)
-    Server_.send(Which, Bytes, Binary, Error);
-  else
-    Client_.send(Which, Bytes, Binary, Error);
+  Peers_.send(Which, Bytes);
   Counters_.BytesSent_ += Bytes.size();
   ++Counters_.MessagesSent_;
 }
@@ -309,33 +243,21 @@
 }
 
 void ControlPlane::Impl::connect(const std::string &Target) {
-  websocketpp::lib::error_code Error;
-  auto Connection = Client_.get_connection("ws://" + Target + "/", Error);
-  if (Error)
-    return;
   Connecting_.insert(Target);
-  Connection->set_open_handler(
-      [this, Target](const Handle &H) { onOpen(H, false, Target); });
-  Connection->set_close_handler(
-      [this, Target](const Handle &H) { onClose(H, Target); });
-  Connection->set_fail_handler(
-      [this, Target](const Handle &H) { onClose(H, Target); });
-  Client_.connect(Connection);
+  Peers_.connect(Target);
 }
 
 /// Of two links between two balancers, the one that the later name opened goes.
-void ControlPlane::Impl::closeSpareLink(const Handle &Which,
-                                        const std::string &Peer) {
+void ControlPlane::Impl::closeSpareLink(LinkId Which, const std::string &Peer) {
   auto Known = Links_.find(Which);
-  bool Ours = Known != Links_.end() && !Known->second.Accepted_;
+  bool Ours = Known != Links_.end() && !Known->second.Target_.empty();
   auto Count =
       std::count_if(Links_.begin(), Links_.end(), [&](const auto &Item) {
         return Item.second.Peer_ == Peer;
       });
   if (!Ours || Count < 2 || Settings_.Name_ < Peer)
     return;
-  websocketpp::lib::error_code Ignored;
-  Client_.close(Which, websocketpp::close::status::normal, "", Ignored);
+  Peers_.close(Which);
 }
 
 void ControlPlane::Impl::schedule() {
--- a/src/status-server.cc
+++ b/src/status-page.cc
@@ -1,10 +1,6 @@
-#include "status-server.h"
+#include "status-page.h"
 
-#include <asio/post.hpp>
-#include <future>
-#include <httplib.h>
 #include <nlohmann/json.hpp>
-#include <thread>
 
 namespace thymewall::detail {
 
@@ -13,8 +9,6 @@
 using Json = nlohmann::json;
 using Number = std::pair<std::string, std::uint64_t>;
 
-constexpr auto AnswerWithin = std::chrono::seconds(2);
-
 /// Every counter with its name, once, for both renderings.
 std::vector<Number> numbers(const StatusReport &R) {
   const Counters &C = R.Counters_;
@@ -88,55 +82,14 @@
   return Text + R.Delays_->prometheus("thymewall_delay_seconds");
 }
 
-class StatusServer::Impl {
-public:
-  Impl(asio::io_context &Context, const Endpoint &Where, Source Reporter)
-      : Context_(Context), Reporter_(std::move(Reporter)) {
-    serve("/status", "application/json", statusJson);
-    serve("/metrics", "text/plain; version=0.0.4", metricsText);
-    serve("/histograms", "application/json",
-          [](const StatusReport &R) { return R.Delays_->json(); });
-    std::string Host = formatEndpoint(Where);
-    Host.resize(Host.rfind(':'));
-    if (!Server_.bind_to_port(Host.c_str(), Where.Port_))
-      throw std::runtime_error("can't bind the status address " +
-                               formatEndpoint(Where));
-    Thread_ = std::thread([this] { Server_.listen_after_bind(); });
-  }
-
-  ~Impl() {
-    Server_.stop();
-    Thread_.join();
-  }
-
-private:
-  using Renderer = std::function<std::string(const StatusReport &)>;
-
-  /// Pages are rendered on the Asio thread, which owns what they show.
-  void serve(const char *Path, const char *Type, const Renderer &Render) {
-    Server_.Get(Path, [this, Type, Render](const httplib::Request &,
-                                           httplib::Response &Response) {
-      auto Page = std::make_shared<std::promise<std::string>>();
-      auto Ready = Page->get_future();
-      asio::post(Context_, [this, Page, Render] {
-        Page->set_value(Render(Reporter_()));
-      });
-      if (Ready.wait_for(AnswerWithin) == std::future_status::ready)
-        Response.set_content(Ready.get(), Type);
-      else
-        Response.status = 503;
-    });
-  }
-
-  asio::io_context &Context_;
-  Source Reporter_;
-  httplib::Server Server_;
-  std::thread Thread_;
-};
-
-StatusServer::StatusServer(asio::io_context &Context, const Endpoint &Where,
-                           Source Reporter)
-    : Impl_(std::make_unique<Impl>(Context, Where, std::move(Reporter))) {}
-StatusServer::~StatusServer() = default;
+HttpPage statusPage(const StatusReport &R, const std::string &Path) {
+  if (Path == "/status")
+    return {200, "application/json", statusJson(R)};
+  if (Path == "/metrics")
+    return {200, "text/plain; version=0.0.4", metricsText(R)};
+  if (Path == "/histograms")
+    return {200, "application/json", R.Delays_->json()};
+  return {404, "text/plain", ""};
+}
 
 } // namespace thymewall::detail
--- a/src/status-server.h
+++ b/src/status-page.h
@@ -1,16 +1,13 @@
 /// \file
-/// Status and metrics over HTTP: `/status` and `/histograms` as JSON, and
+/// Pages of the request balancer: `/status` and `/histograms` as JSON, and
 /// `/metrics` in Prometheus text format.
-#ifndef THYMEWALL_SRC_STATUS_SERVER_H
-#define THYMEWALL_SRC_STATUS_SERVER_H
+#ifndef THYMEWALL_SRC_STATUS_PAGE_H
+#define THYMEWALL_SRC_STATUS_PAGE_H
 
+#include "http-server.h"
 #include "thymewall/balancer.h"
 #include "thymewall/metrics.h"
 
-#include <asio/io_context.hpp>
-#include <functional>
-#include <memory>
-
 namespace thymewall::detail {
 
 /// Everything that the pages show; made on the Asio context's thread.
@@ -26,19 +23,8 @@
 std::string statusJson(const StatusReport &R);
 std::string metricsText(const StatusReport &R);
 
-class StatusServer {
-public:
-  using Source = std::function<StatusReport()>;
-
-  /// Throws `std::runtime_error` when the address can't be bound.
-  StatusServer(asio::io_context &Context, const Endpoint &Where,
-               Source Reporter);
-  ~StatusServer();
-
-private:
-  class Impl;
-  std::unique_ptr<Impl> Impl_;
-};
+/// The page of a path, for an `HttpServer`.
+HttpPage statusPage(const StatusReport &R, const std::string &Path);
 
 } // namespace thymewall::detail
 
--- a/test/published-test.cc
+++ b/test/published-test.cc
@@ -1,29 +1,20 @@
 #include "published.h"
 
+#include "base64.h"
+
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
-#include <sodium.h>
 
 using namespace thymewall;
 using namespace thymewall::platform;
 using Json = nlohmann::json;
+using test::base64;
 
 namespace {
 
 const MonoTime Now{std::chrono::seconds(50)};
 
-std::string base64(const std::string &Text) {
-  std::string Result(
-      sodium_base64_encoded_len(Text.size(), sodium_base64_VARIANT_ORIGINAL),
-      '\0');
-  sodium_bin2base64(Result.data(), Result.size(),
-                    reinterpret_cast<const unsigned char *>(Text.data()),
-                    Text.size(), sodium_base64_VARIANT_ORIGINAL);
-  Result.resize(Result.find('\0'));
-  return Result;
-}
-
 Json item(const std::string &Key, const Json &Value, Revision At) {
   return {{"key-file", Key},
           {"val", base64(Value.dump())},
