--- a/test/base64.h
+++ b/test/base64.h
@@ -10,9 +10,9 @@
 
 /// Standard base64 with padding.
 inline std::string base64(const std::string &Text) {
-  std::string Result(sodium_base64_encoded_len(Text.size(),
-                                               sodium_base64_VARIANT_ORIGINAL),
-                     '\0');
+  std::string Result(
+      sodium_base64_encoded_len(Text.size(), sodium_base64_VARIANT_ORIGINAL),
+      '\0');
   sodium_bin2base64(Result.data(), Result.size(),
                     reinterpret_cast<const unsigned char *>(Text.data()),
                     Text.size(), sodium_base64_VARIANT_ORIGINAL);
