--- /dev/null
+++ b/test/http-test.cc
@@ -0,0 +1,200 @@
+// The HTTP client against a server that misbehaves, and the HTTP server against
+// a client that does. All on loopback; nothing is asserted about durations.
+#include "http-client.h"
+#include "http-server.h"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+#include <doctest/doctest.h>
+
+using namespace thymewall;
+using namespace thymewall::detail;
+using namespace std::chrono_literals;
+
+namespace {
+
+using asio::ip::tcp;
+
+/// Answers each request on a connection with the next scripted text; an empty
+/// text closes the connection, and after the last one nothing is said.
+class ScriptedServer {
+public:
+  ScriptedServer(asio::io_context &Context, std::vector<std::string> Script)
+      : Acceptor_(Context, {asio::ip::address_v4::loopback(), 0}),
+        Script_(std::move(Script)) {
+    accept();
+  }
+
+  Endpoint at() const {
+    return Endpoint::v4(0x7f000001, Acceptor_.local_endpoint().port());
+  }
+  int connections() const { return Connections_; }
+
+private:
+  void accept() {
+    Acceptor_.async_accept(
+        [this](const asio::error_code &Error, tcp::socket Socket) {
+          if (Error)
+            return;
+          ++Connections_;
+          serve(std::make_shared<tcp::socket>(std::move(Socket)));
+          accept();
+        });
+  }
+
+  void serve(const std::shared_ptr<tcp::socket> &Socket) {
+    auto Request = std::make_shared<std::string>();
+    asio::async_read_until(
+        *Socket, asio::dynamic_buffer(*Request), "\r\n\r\n",
+        [this, Socket, Request](const asio::error_code &Error, std::size_t) {
+          if (Error || Next_ == Script_.size()) {
+            Silent_.push_back(Socket);
+            return;
+          }
+          auto Text = std::make_shared<std::string>(Script_[Next_++]);
+          if (Text->empty())
+            return; // the last owner of the socket closes it
+          asio::async_write(
+              *Socket, asio::buffer(*Text),
+              [this, Socket, Text](const asio::error_code &E, std::size_t) {
+                if (!E && Text->find("close") == std::string::npos)
+                  serve(Socket);
+              });
+        });
+  }
+
+  tcp::acceptor Acceptor_;
+  std::vector<std::string> Script_;
+  std::vector<std::shared_ptr<tcp::socket>> Silent_;
+  std::size_t Next_ = 0;
+  int Connections_ = 0;
+};
+
+std::string ok(const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+         "\r\n\r\n" + Body;
+}
+
+/// What came of calls, one after the other: "200 body" or "failed".
+std::vector<std::string> calls(asio::io_context &Context, const Endpoint &At,
+                               int Count) {
+  HttpClient Client(Context, At);
+  std::vector<std::string> Results;
+  std::function<void()> Call = [&] {
+    Client.get("/x", std::chrono::steady_clock::now() + 300ms,
+               [&](std::optional<HttpAnswer> A, const std::string &Reason) {
+                 CHECK(A.has_value() == Reason.empty());
+                 Results.push_back(A ? std::to_string(A->Status_) + " " +
+                                           A->Body_
+                                     : "failed");
+                 if (static_cast<int>(Results.size()) == Count)
+                   Context.stop();
+                 else
+                   Call();
+               });
+  };
+  Call();
+  Context.run();
+  return Results;
+}
+
+using Strings = std::vector<std::string>;
+
+/// What a server answers to raw bytes, sent in the given pieces.
+std::string exchange(const HttpServer::Source &Pages, const Strings &Pieces) {
+  asio::io_context Context;
+  tcp::acceptor Free(Context, {asio::ip::address_v4::loopback(), 0});
+  std::uint16_t Port = Free.local_endpoint().port();
+  Free.close();
+  HttpServer Server(Context, Endpoint::v4(0x7f000001, Port), Pages);
+  tcp::socket Client(Context);
+  std::string Got;
+  std::array<char, 4096> Buffer{};
+  std::size_t Sent = 0;
+  std::function<void()> Send = [&] {
+    if (Sent == Pieces.size())
+      return;
+    asio::async_write(Client, asio::buffer(Pieces[Sent++]),
+                      [&](const asio::error_code &, std::size_t) { Send(); });
+  };
+  std::function<void()> Read = [&] {
+    Client.async_read_some(asio::buffer(Buffer),
+                           [&](const asio::error_code &E, std::size_t Size) {
+                             Got.append(Buffer.data(), Size);
+                             if (E || Got.find("END") != std::string::npos)
+                               return Context.stop();
+                             Read();
+                           });
+  };
+  Client.async_connect({asio::ip::address_v4::loopback(), Port},
+                       [&](const asio::error_code &Error) {
+                         REQUIRE_FALSE(Error);
+                         Send();
+                         Read();
+                       });
+  Context.run();
+  return Got;
+}
+
+void pages(const std::string &Target, const HttpServer::Reply &Answer) {
+  bool Known = pathOf(Target) == "/known";
+  Answer({Known ? 200U : 404U, "text/plain", "END"});
+}
+
+} // namespace
+
+TEST_CASE("calls share a connection as long as it holds") {
+  asio::io_context Context;
+  ScriptedServer Server(Context, {ok("a"), ok("b"), ok("c")});
+  CHECK(calls(Context, Server.at(), 3) == Strings{"200 a", "200 b", "200 c"});
+  CHECK(Server.connections() == 1);
+}
+
+TEST_CASE("refusals are answers") {
+  asio::io_context Context;
+  ScriptedServer Server(
+      Context, {"HTTP/1.1 429 Too Many\r\nContent-Length: 0\r\n\r\n", ok("b")});
+  CHECK(calls(Context, Server.at(), 2) == Strings{"429 ", "200 b"});
+}
+
+TEST_CASE("a body in chunks") {
+  asio::io_context Context;
+  ScriptedServer Server(Context,
+                        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                         "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"});
+  CHECK(calls(Context, Server.at(), 1) == Strings{"200 abcde"});
+}
+
+TEST_CASE("after a failure the next call takes a new connection") {
+  std::string First;
+  SUBCASE("the server closes without an answer") { First = ""; }
+  SUBCASE("half an answer") {
+    First = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nX: close\r\n\r\nhalf";
+  }
+  SUBCASE("no HTTP") { First = "what is this\r\n\r\n"; }
+  asio::io_context Context;
+  ScriptedServer Server(Context, {First, ok("b")});
+  CHECK(calls(Context, Server.at(), 2) == Strings{"failed", "200 b"});
+  CHECK(Server.connections() == 2);
+}
+
+TEST_CASE("silence ends a call at its deadline") {
+  asio::io_context Context;
+  ScriptedServer Server(Context, {});
+  CHECK(calls(Context, Server.at(), 1) == Strings{"failed"});
+}
+
+TEST_CASE("a server answers requests in pieces, and unknown ones") {
+  CHECK(exchange(pages, {"GET /kno", "wn?a=b HTTP/1.1\r\nHo", "st: x\r\n\r\n"})
+            .find("HTTP/1.1 200 OK") == 0);
+  CHECK(exchange(pages, {"GET /other HTTP/1.1\r\n\r\n"}).find("HTTP/1.1 404") ==
+        0);
+  CHECK(exchange(pages, {"POST /known HTTP/1.1\r\nConnection: close\r\n"
+                         "Content-Length: 0\r\n\r\n"})
+            .find("HTTP/1.1 405") == 0);
+}
+
+TEST_CASE("what is no HTTP is closed without an answer") {
+  CHECK(exchange(pages, {"\x01\x02\x03\r\n\r\n"}).empty());
+}
