--- a/include/thymewall/news.h
+++ b/include/thymewall/news.h
@@ -104,8 +104,6 @@
   void readFailed();
   void setLeaving(MonoTime Now);
   void setSeeds(std::vector<Endpoint> Seeds);
-  /// The process was away: what peers say must be proved anew.
-  void forgetLinksProofs();
   void tick(MonoTime Now);
 
   /// When this balancer should read the configuration service itself.
--- a/src/balancer-process.cc
+++ b/src/balancer-process.cc
@@ -1,5 +1,6 @@
 #include "balancer-process.h"
 
+#include "clock.h"
 #include "control-plane.h"
 #include "platform-client.h"
 #include "status-page.h"
@@ -29,12 +30,7 @@
 constexpr std::chrono::milliseconds PausePerHost(2);
 constexpr auto WatchReviewEvery = std::chrono::seconds(1);
 
-Moment now() {
-  auto Mono = std::chrono::steady_clock::now().time_since_epoch();
-  auto Wall = std::chrono::system_clock::now().time_since_epoch();
-  return {MonoTime(std::chrono::duration_cast<Micros>(Mono)),
-          WallTime(std::chrono::duration_cast<Micros>(Wall))};
-}
+Moment now() { return {monoNow(), wallNow()}; }
 
 std::uint64_t randomNumber() {
   std::random_device Device;
--- a/src/ctl-main.cc
+++ b/src/ctl-main.cc
@@ -1,4 +1,5 @@
 // thymewall-ctl: the operators' command.
+#include "clock.h"
 #include "ctl-packet.h"
 #include "program.h"
 #include "thymewall/host-list.h"
@@ -24,11 +25,6 @@
   using std::runtime_error::runtime_error;
 };
 
-WallTime wallNow() {
-  return WallTime(std::chrono::duration_cast<Micros>(
-      std::chrono::system_clock::now().time_since_epoch()));
-}
-
 /// Parses "2026-12-02T18:30Z".
 WallTime parseTime(const std::string &Text) {
   std::istringstream In(Text);
--- a/src/log.cc
+++ b/src/log.cc
@@ -1,5 +1,7 @@
 #include "thymewall/log.h"
 
+#include "clock.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
@@ -24,16 +26,6 @@
 /// A pipe that reports room takes this much at once without blocking.
 constexpr std::size_t MaxWrite = 4096;
 
-MonoTime now() {
-  auto Mono = std::chrono::steady_clock::now().time_since_epoch();
-  return MonoTime(std::chrono::duration_cast<Micros>(Mono));
-}
-
-WallTime wallNow() {
-  auto Wall = std::chrono::system_clock::now().time_since_epoch();
-  return WallTime(std::chrono::duration_cast<Micros>(Wall));
-}
-
 /// Holds whole lines and writes them as far as standard output takes them.
 class Writer {
 public:
@@ -98,8 +90,8 @@
 
 void line(std::string_view Event, const LogFields &Fields) {
   ProcessLog &Log = processLog();
-  BOOST_LOG(Log.Logger_) << formatLogLine(wallNow(), Log.Process_, Event,
-                                          Fields);
+  BOOST_LOG(Log.Logger_) << formatLogLine(detail::wallNow(), Log.Process_,
+                                          Event, Fields);
 }
 
 } // namespace
@@ -153,7 +145,7 @@
 }
 
 void logDecision(std::string_view Event, const LogFields &Fields) {
-  if (processLog().Budget_.take(now()))
+  if (processLog().Budget_.take(detail::monoNow()))
     line(Event, Fields);
 }
 
--- a/src/news.cc
+++ b/src/news.cc
@@ -70,10 +70,6 @@
   void setSeeds(std::vector<Endpoint> Seeds) {
     Options_.Seeds_ = std::move(Seeds);
   }
-  void forgetLinksProofs() {
-    for (auto &[Which, L] : Links_)
-      L.Sent_.clear();
-  }
   void tick(MonoTime Now);
   MonoTime readFrom() const;
   Revision through() const { return List_.through(); }
@@ -477,7 +473,6 @@
 void NewsExchange::setSeeds(std::vector<Endpoint> Seeds) {
   Impl_->setSeeds(std::move(Seeds));
 }
-void NewsExchange::forgetLinksProofs() { Impl_->forgetLinksProofs(); }
 void NewsExchange::tick(MonoTime Now) { Impl_->tick(Now); }
 MonoTime NewsExchange::readFrom() const { return Impl_->readFrom(); }
 Revision NewsExchange::through() const { return Impl_->through(); }
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -1,5 +1,6 @@
 #include "packet-process.h"
 
+#include "clock.h"
 #include "http-server.h"
 #include "packet-log.h"
 #include "packet-pages.h"
@@ -19,15 +20,6 @@
 
 namespace {
 
-MonoTime now() {
-  auto Mono = std::chrono::steady_clock::now().time_since_epoch();
-  return MonoTime(std::chrono::duration_cast<Micros>(Mono));
-}
-
-std::chrono::steady_clock::time_point steady(MonoTime At) {
-  return std::chrono::steady_clock::time_point(At.time_since_epoch());
-}
-
 /// The fabric asks for readiness twice a second and takes a balancer out after
 /// two bad answers; one more second for packets under way.
 constexpr Micros FabricNotices = std::chrono::milliseconds(2000);
@@ -153,7 +145,7 @@
       Checker_(
           Context,
           [this](Incarnation Upstream, CheckResult Result, MonoTime Began) {
-            Core_.checked(now(), Upstream, Result, Began);
+            Core_.checked(monoNow(), Upstream, Result, Began);
           }),
       Reader_(randomShare()),
       Call_(Hooks_.MakeCaller_(Context, Settings_.Configuration_)),
@@ -165,7 +157,7 @@
             Answer(readinessPage(pathOf(Target)));
           }),
       Timer_(Context), Signals_(Context, SIGTERM, SIGINT, SIGHUP) {
-  NextSettingsLook_ = now() + SettingsLookEvery;
+  NextSettingsLook_ = monoNow() + SettingsLookEvery;
   awaitSignal();
   serveMetrics();
   logState("started", {{"packets", formatEndpoint(Settings_.Packets_)},
@@ -174,7 +166,7 @@
 }
 
 void PacketProcess::Impl::onPacket(const std::uint8_t *Data, std::size_t Size) {
-  LastPacket_ = now();
+  LastPacket_ = monoNow();
   if (!Core_.ready())
     return Held_.hold(LastPacket_, Data, Size);
   steer(Data, Size);
@@ -216,7 +208,7 @@
                               std::size_t) {}
 
 void PacketProcess::Impl::review() {
-  MonoTime Now = now();
+  MonoTime Now = monoNow();
   if (Now >= NextTick_) {
     Core_.tick(Now);
     News_.tick(Now);
@@ -228,7 +220,7 @@
   noteReady();
   startCall(Now);
   Timer_.expires_at(
-      steady(std::min(NextTick_, Reader_.dueAt(News_.readFrom()))));
+      toSteady(std::min(NextTick_, Reader_.dueAt(News_.readFrom()))));
   Timer_.async_wait([this](const asio::error_code &Error) {
     if (!Error)
       review();
@@ -243,7 +235,7 @@
   logState("ready", {{"routing_version", Routing_->Version_},
                      {"revision", News_.through()},
                      {"held_packets", Held_.size()}});
-  Held_.release(now(), [this](const std::uint8_t *Data, std::size_t Size) {
+  Held_.release(monoNow(), [this](const std::uint8_t *Data, std::size_t Size) {
     steer(Data, Size);
   });
 }
@@ -267,7 +259,7 @@
 }
 
 void PacketProcess::Impl::onAnswer(const IntentAnswer &Answer) {
-  MonoTime Now = now();
+  MonoTime Now = monoNow();
   Reader_.answered(Now, Answer, News_.fleetSize());
   bool Done = Answer.Outcome_ == IntentAnswer::Outcome::Done;
   ServiceLog_.answered(Now, Answer);
@@ -284,20 +276,20 @@
 PeerLinkHooks PacketProcess::Impl::linkHooks() {
   PeerLinkHooks Hooks;
   Hooks.OnOpen_ = [this](LinkId Link, const std::string &Target) {
-    News_.opened(now(), Link, !Target.empty());
+    News_.opened(monoNow(), Link, !Target.empty());
   };
   Hooks.OnMessage_ = [this](LinkId Link, const std::string &Bytes) {
     onPeerMessage(Link, Bytes);
   };
-  Hooks.OnClose_ = [this](LinkId Link) { News_.closed(now(), Link); };
+  Hooks.OnClose_ = [this](LinkId Link) { News_.closed(monoNow(), Link); };
   Hooks.OnFailed_ = [this](const std::string &Target) {
-    News_.connectFailed(now(), parseEndpoint(Target));
+    News_.connectFailed(monoNow(), parseEndpoint(Target));
   };
   return Hooks;
 }
 
 void PacketProcess::Impl::onPeerMessage(LinkId Link, const std::string &Bytes) {
-  MonoTime Now = now();
+  MonoTime Now = monoNow();
   NewsMessage M;
   ErrorKind Kind = decodeNews(Bytes, Now, M);
   if (Kind == ErrorKind::None) {
@@ -312,7 +304,7 @@
 NewsHooks PacketProcess::Impl::newsHooks() {
   NewsHooks Hooks;
   Hooks.Send_ = [this](LinkId Link, const NewsMessage &M) {
-    Links_.send(Link, encodeNews(M, now()));
+    Links_.send(Link, encodeNews(M, monoNow()));
   };
   Hooks.Connect_ = [this](const Endpoint &Control) {
     Links_.connect(formatEndpoint(Control));
@@ -321,11 +313,11 @@
   Hooks.OnRouting_ = [this](const RoutingTablePtr &Table) {
     Routing_ = Table;
     logRouting(*Table);
-    Core_.setRouting(now(), Table);
+    Core_.setRouting(monoNow(), Table);
   };
   Hooks.OnUpstreams_ = [this](const std::vector<UpstreamChange> &Changes,
                               bool MayReturn) {
-    Core_.applyUpstreams(now(), Changes, MayReturn);
+    Core_.applyUpstreams(monoNow(), Changes, MayReturn);
   };
   Hooks.OnConfirmed_ = [this](MonoTime AsOf) { Core_.confirm(AsOf); };
   return Hooks;
@@ -358,7 +350,7 @@
   R.Name_ = Settings_.Name_;
   R.Ready_ = ready();
   R.Stopping_ = StopBy_ != MonoTime::max();
-  R.Now_ = now();
+  R.Now_ = monoNow();
   R.Status_ = Core_.status(R.Now_);
   R.Counters_ = Core_.counters();
   R.News_ = News_.counters();
@@ -400,7 +392,7 @@
   if (StopBy_ != MonoTime::max())
     return;
   logState("stopping", {});
-  MonoTime Now = now();
+  MonoTime Now = monoNow();
   News_.setLeaving(Now);
   StopFrom_ = Now + FabricNotices;
   StopBy_ = Now + std::max(Settings_.StopWithin_ - StopMargin, Micros(0));
--- a/src/upstream-checker.cc
+++ b/src/upstream-checker.cc
@@ -1,5 +1,6 @@
 #include "upstream-checker.h"
 
+#include "clock.h"
 #include "udp-socket.h"
 
 #include <asio/ip/tcp.hpp>
@@ -16,12 +17,6 @@
 /// proof.
 constexpr auto LateBy = std::chrono::milliseconds(40);
 
-using SteadyTime = std::chrono::steady_clock::time_point;
-
-MonoTime mono(SteadyTime At) {
-  return MonoTime(std::chrono::duration_cast<Micros>(At.time_since_epoch()));
-}
-
 /// One check; lives while one of its operations is under way.
 class Check : public std::enable_shared_from_this<Check> {
 public:
@@ -76,7 +71,7 @@
     Attempt_ = Tries + 1; // whatever still ends is ignored
     Timer_.cancel();
     close();
-    (*OnResult_)(Wanted_.Upstream_, Result, mono(Began_));
+    (*OnResult_)(Wanted_.Upstream_, Result, toMono(Began_));
   }
 
   asio::ip::tcp::socket Socket_;
