A dead upstream is checked again instead of being tried with callers' openings

Cause: an upstream that died while the configuration service is away stays published. Each balancer gave it new flows again 5 s after each proof of its death, and each such opening cost its caller 200 ms. It also counted among the upstreams of which no more than half may be ejected, so that with three of four dead all four took new flows. Ruled out: longer ejections alone (an upstream behind a cut would stay out for as long); sharing of proofs between balancers (a cut is seen by one of them only). The floor of half counts the living only. Tests first: upstream-check-test (3 cases), upstream-table-test.

--- a/include/thymewall/upstream-table.h
+++ b/include/thymewall/upstream-table.h
@@ -27,6 +27,7 @@
   MonoTime WarmAt_{}; ///< End of its cold start.
   bool Declared_ = false;
   bool Leaving_ = false; ///< The host list says so.
+  bool Dead_ = false;    ///< Proved; until a check reaches it.
   bool Remembers_ = false;
 };
 
@@ -95,11 +96,14 @@
   void failed(std::uint32_t Index, MonoTime Now, double Jitter);
   /// Gives the upstream no new flows before \p Until.
   void eject(std::uint32_t Index, MonoTime Until);
-  /// Forgets every ejection and failure (after a late wake).
+  /// Gives a dead upstream no new flows while another one lives.
+  void setDead(std::uint32_t Index, bool Dead);
+  /// Forgets every death, ejection and failure (after a late wake).
   void forgetBeliefs();
 
-  /// Takes the leaving out of \p Selected, and the ejected, but of these never
-  /// more than half. Holds until `generation` changes.
+  /// Takes the leaving and the dead out of \p Selected, and the ejected, but of
+  /// these never more than half of the living. If all are dead, all are taken.
+  /// Holds until `generation` changes.
   void eligibleNow(const std::vector<std::uint32_t> &Selected, MonoTime Now,
                    Eligible &Into) const;
   /// Changes whenever `eligibleNow` may give something else.
--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -53,10 +53,12 @@
     ServiceId Service_{};
     std::string DataHall_;
     Revision Revision_ = 0;
-    MonoTime LapsedUntil_{}; ///< While it may come back.
-    MonoTime ForgetAt_{};    ///< When a gone upstream's row is given back.
-    MonoTime ProgressAt_{};  ///< Last sign of life in any of its flows.
-    MonoTime NextCheckAt_{};
+    MonoTime LapsedUntil_{};     ///< While it may come back.
+    MonoTime ForgetAt_{};        ///< When a gone upstream's row is given back.
+    MonoTime ProgressAt_{};      ///< Last sign of life in any of its flows.
+    MonoTime NextCheckAt_{};     ///< Not checked before, whatever is suspected.
+    MonoTime RecheckAt_{};       ///< While it is dead.
+    std::uint32_t Rechecks_ = 0; ///< Since it was found dead.
     bool Lapsed_ = false;
     bool Gone_ = false;
     bool Draining_ = false;
@@ -92,6 +94,9 @@
   void forget(std::uint32_t Index);
   void suspect(std::uint32_t Index);
   void check(std::uint32_t Index);
+  void recheckDead();
+  void setAlive(std::uint32_t Index);
+  void setDead(std::uint32_t Index);
   void giveUpFlows(std::uint32_t Index);
   void believe(Belief::Kind Kind, std::uint32_t Index) const;
   void decide(Decision::Kind Kind, const Packet &P, std::uint32_t Index,
--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -11,8 +11,18 @@
 
 /// An upstream that was checked is not checked again for this long.
 constexpr Micros CheckEvery = std::chrono::milliseconds(1000);
-/// A dead upstream takes no new flows for this long, unless it is listed anew.
-constexpr Micros DeadFor = std::chrono::seconds(5);
+/// A dead upstream is checked again after pauses that double between these. A
+/// start of an upstream has a new incarnation, so that the same one comes back
+/// only after a cut, which lasts seconds.
+constexpr Micros FirstRecheck = std::chrono::milliseconds(1000);
+constexpr Micros LongestRecheck = std::chrono::milliseconds(4000);
+
+Micros recheckPause(std::uint32_t Rechecks) {
+  Micros Pause = FirstRecheck;
+  for (; Rechecks > 0 && Pause < LongestRecheck; --Rechecks)
+    Pause *= 2;
+  return Pause;
+}
 
 } // namespace
 
@@ -36,6 +46,34 @@
   Options_.OnCheck_({Upstreams_[Index].Incarnation_, Upstreams_[Index].At_});
 }
 
+/// Asks again for the dead that are still published.
+void PacketBalancer::Impl::recheckDead() {
+  for (std::uint32_t Index = 0; Index < Details_.size(); ++Index) {
+    Detail &D = Details_[Index];
+    bool Due = Upstreams_[Index].Dead_ && !D.Gone_ && D.RecheckAt_ <= Now_;
+    if (!Due)
+      continue;
+    D.RecheckAt_ = Now_ + recheckPause(++D.Rechecks_);
+    check(Index);
+  }
+}
+
+void PacketBalancer::Impl::setAlive(std::uint32_t Index) {
+  Upstreams_.setDead(Index, false);
+  believe(Belief::Kind::Checked, Index);
+}
+
+void PacketBalancer::Impl::setDead(std::uint32_t Index) {
+  if (!Upstreams_[Index].Dead_) {
+    ++Counters_.Dead_;
+    Upstreams_.setDead(Index, true);
+    Details_[Index].Rechecks_ = 0;
+    Details_[Index].RecheckAt_ = Now_ + recheckPause(0);
+    believe(Belief::Kind::Dead, Index);
+  }
+  giveUpFlows(Index);
+}
+
 void PacketBalancer::Impl::checked(MonoTime Now, Incarnation Upstream,
                                    CheckResult Result, MonoTime Began) {
   Now_ = Now;
@@ -49,11 +87,8 @@
   if (Result == CheckResult::Unclear)
     return;
   if (Result == CheckResult::Connected || Progress)
-    return believe(Belief::Kind::Checked, Index);
-  ++Counters_.Dead_;
-  Upstreams_.eject(Index, Now_ + DeadFor);
-  believe(Belief::Kind::Dead, Index);
-  giveUpFlows(Index);
+    return setAlive(Index);
+  setDead(Index);
 }
 
 void PacketBalancer::Impl::giveUpFlows(std::uint32_t Index) {
@@ -110,6 +145,8 @@
   D.Draining_ = Entry.Draining_;
   D.Lapsed_ = false;
   D.Gone_ = false;
+  if (Returned)
+    D.RecheckAt_ = Now_;
   if (Fresh || Returned)
     believe(Belief::Kind::Listed, Index);
   if (NewlyDraining)
@@ -187,6 +224,8 @@
     return "gone";
   if (D.Draining_)
     return "draining";
+  if (Upstreams_.rows()[Index].Dead_)
+    return "dead";
   if (Upstreams_.rows()[Index].EjectedUntil_ > Now)
     return "ejected";
   return {};
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -152,6 +152,7 @@
   Flows_.expire(dueTick(Micros(0)),
                 [this](const PacketFlowRow &Row) { countOut(Row); });
   expireUpstreams();
+  recheckDead();
 }
 
 void PacketBalancer::Impl::decide(Decision::Kind Kind, const Packet &P,
--- a/src/upstream-table.cc
+++ b/src/upstream-table.cc
@@ -24,6 +24,11 @@
   return unit(Draw) <= std::max(Share, 0.1);
 }
 
+/// Not about to leave, so that it may take new flows.
+bool stays(const UpstreamRow &Row) {
+  return !Row.Leaving_ || !detail::has(detail::Mechanism::Leaving);
+}
+
 const UpstreamRow &rowOf(const Choice &C, std::size_t Index) {
   return C.Rows_[C.Eligible_.Indexes_[Index]];
 }
@@ -193,8 +198,16 @@
   ++Generation_;
 }
 
+void UpstreamTable::setDead(std::uint32_t Index, bool Dead) {
+  if (Rows_[Index].Dead_ == Dead)
+    return;
+  Rows_[Index].Dead_ = Dead;
+  ++Generation_;
+}
+
 void UpstreamTable::forgetBeliefs() {
   for (UpstreamRow &Row : Rows_) {
+    Row.Dead_ = false;
     Row.Failures_ = 0;
     Row.EjectedUntil_ = {};
   }
@@ -213,22 +226,24 @@
 
 void UpstreamTable::eligibleNow(const std::vector<std::uint32_t> &Selected,
                                 MonoTime Now, Eligible &Into) const {
-  Into.clear();
-  std::size_t Present = 0;
-  for (std::uint32_t Index : Selected) {
-    const UpstreamRow &Row = Rows_[Index];
-    if (Row.Leaving_ && detail::has(detail::Mechanism::Leaving))
-      continue;
-    ++Present;
-    if (Row.EjectedUntil_ <= Now)
-      Into.add(Index, Row.Slots_);
-  }
-  if (2 * Into.size() >= Present)
-    return;
-  Into.clear();
+  auto TakeIf = [&](auto Wanted) {
+    Into.clear();
+    for (std::uint32_t Index : Selected)
+      if (stays(Rows_[Index]) && Wanted(Rows_[Index]))
+        Into.add(Index, Rows_[Index].Slots_);
+  };
+  auto Lives = [](const UpstreamRow &Row) { return !Row.Dead_; };
+  std::size_t Living = 0;
   for (std::uint32_t Index : Selected)
-    if (!Rows_[Index].Leaving_)
-      Into.add(Index, Rows_[Index].Slots_);
+    if (stays(Rows_[Index]) && Lives(Rows_[Index]))
+      ++Living;
+  if (Living == 0)
+    return TakeIf([](const UpstreamRow &) { return true; });
+  TakeIf([&](const UpstreamRow &Row) {
+    return Lives(Row) && Row.EjectedUntil_ <= Now;
+  });
+  if (2 * Into.size() < Living)
+    TakeIf(Lives);
 }
 
 std::uint32_t UpstreamTable::byId(UpstreamId Id) const {
--- a/test/upstream-check-test.cc
+++ b/test/upstream-check-test.cc
@@ -138,6 +138,75 @@
   CHECK(B.Resets_.size() == Lost.size());
 }
 
+TEST_CASE("a dead upstream takes no new flow until a check reaches it again") {
+  Balancer3 B;
+  std::uint64_t Dead = B.request(1);
+  auto TakesFlows = [&](std::chrono::milliseconds Time) {
+    for (std::uint16_t Port = 1000; Port < 1100; ++Port)
+      if (B.open(Time, Port) == Dead)
+        return true;
+    return false;
+  };
+  B.checked(370ms, Dead, CheckResult::Dead, 210ms);
+  // Checked again by itself, less and less often.
+  std::vector<std::chrono::milliseconds> Asked;
+  auto Now = 500ms;
+  for (; Now < 20s; Now += 250ms) {
+    B.B_.tick(at(Now));
+    if (!B.Checks_.empty()) {
+      CHECK(B.Checks_ == std::vector<std::uint64_t>{Dead});
+      B.Checks_.clear();
+      Asked.push_back(Now);
+      B.checked(Now + 160ms, Dead, CheckResult::Dead, Now);
+    }
+    CHECK_FALSE(TakesFlows(Now + 200ms));
+  }
+  REQUIRE(Asked.size() >= 4);
+  CHECK(Asked.size() <= 8);
+  CHECK(Asked[0] <= 1750ms);
+  SUBCASE("a check reaches it") {
+    B.checked(Now, Dead, CheckResult::Connected, Now - 2ms);
+    CHECK(TakesFlows(Now));
+    B.Checks_.clear();
+    for (auto Later = Now; Later < Now + 10s; Later += 250ms)
+      B.B_.tick(at(Later));
+    CHECK(B.Checks_.empty()); // it is not dead any more
+  }
+  SUBCASE("a disturbed check proves nothing") {
+    B.checked(Now, Dead, CheckResult::Unclear, Now - 160ms);
+    CHECK_FALSE(TakesFlows(Now));
+  }
+  SUBCASE("the process slept: nothing is believed any more") {
+    B.B_.tick(at(Now + 5s));
+    CHECK(TakesFlows(Now + 5s));
+  }
+}
+
+TEST_CASE("an upstream that is published again is checked at once") {
+  Balancer3 B;
+  std::uint64_t Dead = B.request(1);
+  B.checked(370ms, Dead, CheckResult::Dead, 210ms);
+  B.B_.applyUpstreams(at(400ms), {{Incarnation{Dead}, 2, std::nullopt}});
+  B.B_.tick(at(500ms));
+  for (auto Now = 750ms; Now < 9s; Now += 250ms)
+    B.B_.tick(at(Now));
+  CHECK(B.Checks_.empty()); // gone: nobody waits for it
+  B.B_.applyUpstreams(at(9s), {up(Dead)});
+  B.B_.tick(at(9s));
+  CHECK(B.Checks_ == std::vector<std::uint64_t>{Dead});
+}
+
+TEST_CASE("flows that come to a dead upstream later are reset by its checks") {
+  Balancer3 B;
+  std::uint64_t Dead = B.request(1);
+  B.checked(370ms, Dead, CheckResult::Dead, 210ms);
+  REQUIRE(B.Resets_.size() == 1);
+  // Opened by another balancer; its caller sends a request now.
+  B.follow(400ms, 2, Dead, 1000, 1, 100);
+  B.checked(1700ms, Dead, CheckResult::Dead, 1540ms);
+  CHECK(B.Resets_.size() == 2);
+}
+
 TEST_CASE("an upstream that lives keeps its flows") {
   SUBCASE("it accepts connections, however slow it is") {
     Balancer3 B;
--- a/test/upstream-table-test.cc
+++ b/test/upstream-table-test.cc
@@ -84,6 +84,29 @@
   }
 }
 
+TEST_CASE("the dead are left out however many they are, unless all are") {
+  UpstreamTable Table;
+  Table.declare(declare(4), at(0));
+  Eligible Among;
+  for (std::uint32_t Index = 0; Index < 3; ++Index)
+    Table.setDead(Index, true);
+  Table.eligibleNow(all(4), at(0), Among);
+  CHECK(Among.Indexes_ == std::vector<std::uint32_t>{3});
+  // The last one living is ejected: better than one that is dead.
+  Table.eject(3, at(1000));
+  Table.eligibleNow(all(4), at(0), Among);
+  CHECK(Among.Indexes_ == std::vector<std::uint32_t>{3});
+  Table.setDead(3, true);
+  Table.eligibleNow(all(4), at(0), Among);
+  CHECK(Among.size() == 4);
+  Table.setDead(1, false);
+  Table.eligibleNow(all(4), at(0), Among);
+  CHECK(Among.Indexes_ == std::vector<std::uint32_t>{1});
+  Table.forgetBeliefs();
+  Table.eligibleNow(all(4), at(0), Among);
+  CHECK(Among.size() == 4);
+}
+
 TEST_CASE("slots weigh the candidates") {
   Declaration D = declare(2);
   D.Upstreams_[0].Slots_ = 3;
