An open flow belongs to the upstream whose answer its caller took

The row of a flow named the upstream of the last copy of its opening, and was not corrected when the caller's cookie showed that it had taken the other answer. If the second upstream died, the flow at the first was reset. Change: a packet whose cookie names another upstream than the row moves the row and its counts. Test first: upstream-check-test, "the caller took the first answer though its copy went elsewhere".

--- a/src/packet-balancer-flows.cc
+++ b/src/packet-balancer-flows.cc
@@ -27,7 +27,7 @@
   Row->Upstream_ = Index;
   Row->Open_ = false;
   Row->InProgress_ = false;
-  ++Upstreams_[Index].OwnFlows_;
+  countIn(*Row);
   return Row;
 }
 
@@ -75,6 +75,8 @@
     Row = noteFollowed(P, Flow, Index);
   if (!Row)
     return;
+  if (Row->Upstream_ != Index)
+    moveFlow(*Row, Index);
   if (P.Finishes_ || P.Resets_)
     return endFlow(*Row);
   bool Progress = !Row->Open_ || P.Acknowledged_ != Row->Acknowledged_;
@@ -101,6 +103,20 @@
   setInProgress(*Row, true);
 }
 
+/// An opening went to two upstreams, and the caller took the other's answer.
+void PacketBalancer::Impl::moveFlow(PacketFlowRow &Row, std::uint32_t Index) {
+  countOut(Row);
+  Row.Upstream_ = Index;
+  countIn(Row);
+}
+
+void PacketBalancer::Impl::countIn(const PacketFlowRow &Row) {
+  UpstreamRow &Up = Upstreams_[Row.Upstream_];
+  ++Up.OwnFlows_;
+  if (Row.InProgress_)
+    ++Up.InFlight_;
+}
+
 void PacketBalancer::Impl::countOut(const PacketFlowRow &Row) {
   UpstreamRow &Up = Upstreams_[Row.Upstream_];
   --Up.OwnFlows_;
--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -86,6 +86,8 @@
   void measure(const detail::PacketFlowRow &Row, DelayClass Class) const;
   void setInProgress(detail::PacketFlowRow &Row, bool InProgress);
   void endFlow(detail::PacketFlowRow &Row);
+  void moveFlow(detail::PacketFlowRow &Row, std::uint32_t Index);
+  void countIn(const detail::PacketFlowRow &Row);
   void countOut(const detail::PacketFlowRow &Row);
   void put(const UpstreamChange &Change);
   void end(const UpstreamChange &Change, bool MayReturn);
--- a/test/upstream-check-test.cc
+++ b/test/upstream-check-test.cc
@@ -246,6 +246,18 @@
     B.follow(20ms, 1, Up, 1000); // an acknowledgement alone
     CHECK(B.Checks_.empty());
   }
+  SUBCASE("the caller took the first answer though its copy went elsewhere") {
+    Balancer3 B;
+    std::uint64_t First = B.open(0ms, 1);
+    std::uint64_t Second = B.open(200ms, 1, 1);
+    REQUIRE(First != Second);
+    B.follow(210ms, 1, First, 1000);
+    B.follow(215ms, 1, First, 1000, 1, 100);
+    B.checked(500ms, Second, CheckResult::Dead, 340ms);
+    CHECK(B.Resets_.empty());
+    B.checked(600ms, First, CheckResult::Dead, 440ms);
+    CHECK(B.Resets_.size() == 1);
+  }
   SUBCASE("a late result of another start at the same place") {
     Balancer3 B;
     std::uint64_t Up = B.request(1);
