An opening that nobody answers within 40 ms goes to another upstream

Change: the shell keeps the packet of an opening for 40 ms (unanswered-openings.h, with a bound, and without effect when the process itself did not run); the core decides whether it is still unanswered and where else it may go (retryOpening), suspects and checks the silent upstream.

--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -43,10 +43,11 @@
 /// A decision about a flow, with what decided it; for logs.
 struct Decision {
   enum class Kind : std::uint8_t {
-    Opened,    ///< First opening packet, sent to an upstream.
-    OpenMoved, ///< A copy of the opening packet, sent to another one.
-    Followed,  ///< First data here of a flow that another balancer opened.
-    Refused    ///< Reset or dropped; `Why_` tells.
+    Opened,      ///< First opening packet, sent to an upstream.
+    OpenMoved,   ///< A copy of the opening packet, sent to another one.
+    OpenRetried, ///< The opening packet itself, unanswered, sent to another.
+    Followed,    ///< First data here of a flow that another balancer opened.
+    Refused      ///< Reset or dropped; `Why_` tells.
   };
   Kind Kind_ = Kind::Opened;
   Endpoint Caller_;
@@ -108,6 +109,7 @@
   std::uint64_t Packets_ = 0;
   std::uint64_t Opened_ = 0;
   std::uint64_t OpenMoved_ = 0;
+  std::uint64_t OpenRetried_ = 0;
   std::uint64_t Followed_ = 0;
   std::uint64_t Resets_ = 0;
   std::uint64_t Checks_ = 0;
@@ -164,6 +166,10 @@
   ~PacketBalancer();
 
   Verdict steer(MonoTime Now, const Packet &P);
+  /// Where \p P, which `steer` sent to an upstream, is to be sent once more
+  /// because it opens a flow and nobody has answered yet. `Dropped` without an
+  /// error when that is not needed or there is no other upstream.
+  Verdict retryOpening(MonoTime Now, const Packet &P);
   /// Puts a routing table in force; an older one is ignored.
   void setRouting(MonoTime Now, RoutingTablePtr Table);
   /// \p MayReturn: the configuration service was away, so upstreams that are
--- /dev/null
+++ b/include/thymewall/unanswered-openings.h
@@ -0,0 +1,51 @@
+/// \file
+/// Opening packets that were sent to an upstream a moment ago. One that stays
+/// unanswered is sent to another upstream, long before its caller sends a copy.
+#ifndef THYMEWALL_UNANSWERED_OPENINGS_H
+#define THYMEWALL_UNANSWERED_OPENINGS_H
+
+#include "thymewall/core.h"
+
+#include <deque>
+#include <functional>
+#include <vector>
+
+namespace thymewall {
+
+class UnansweredOpenings {
+public:
+  /// The caller's acknowledgement takes 5 to 12 ms (3 ms to callers, 2 ms
+  /// between data halls), on a host five times slower about 20 ms.
+  static constexpr Micros AnswerWithin = std::chrono::milliseconds(40);
+  /// The caller sends a copy itself after this long.
+  static constexpr Micros CopyAfter = std::chrono::milliseconds(200);
+  /// A review this late means that this process did not run, so that answers
+  /// may wait in its socket.
+  static constexpr Micros LateBy = std::chrono::milliseconds(20);
+  /// Far more than an entry host opens in `AnswerWithin`.
+  static constexpr std::size_t Bound = 1024;
+
+  using Taker = std::function<void(const std::uint8_t *Data, std::size_t Size)>;
+
+  /// Keeps a copy of a packet that opens a flow; when there are too many, none.
+  void add(MonoTime Now, const std::uint8_t *Data, std::size_t Size);
+  /// When `takeDue` should be called; the far future when nothing waits.
+  MonoTime dueAt() const;
+  /// Gives \p Take every packet whose time for an answer is over, and forgets
+  /// it. After a late review all get that time once more.
+  void takeDue(MonoTime Now, const Taker &Take);
+
+private:
+  struct Waiting {
+    MonoTime AnswerBy_;
+    MonoTime CopyAt_;
+    std::vector<std::uint8_t> Bytes_;
+  };
+  void postpone(MonoTime Now);
+
+  std::deque<Waiting> Packets_;
+};
+
+} // namespace thymewall
+
+#endif
--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -32,6 +32,7 @@
   explicit Impl(PacketBalancerOptions Options);
 
   Verdict steer(MonoTime Now, const Packet &P);
+  Verdict retryOpening(MonoTime Now, const Packet &P);
   void setRouting(RoutingTablePtr Table);
   void applyUpstreams(MonoTime Now, const std::vector<UpstreamChange> &Changes,
                       bool MayReturn);
@@ -74,6 +75,9 @@
                const std::vector<ServiceShare> &Shares);
   Verdict follow(const Packet &P, FlowId Flow);
   Verdict refuse(const Packet &P, ErrorKind Why);
+  void noteSilence(std::uint32_t Index);
+  Forward sendOpening(Decision::Kind Kind, const Packet &P, FlowId Flow,
+                      std::uint32_t Index);
   std::uint32_t choose(ServiceId Service, FlowId Flow, std::uint32_t Copy,
                        std::uint32_t Avoid);
   const Eligible &eligible(ServiceState &State);
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -11,6 +11,8 @@
 
 /// Copies of an opening packet draw other candidates than the first one.
 constexpr std::uint64_t CopyDraw = 0x636f7079;
+/// The draw of a retry: the number of no copy that a caller sends.
+constexpr std::uint32_t RetryDraw = 0x80;
 
 bool opens(const Packet &P) { return P.Opens_ && !P.Acknowledges_; }
 
@@ -56,22 +58,51 @@
   std::uint32_t Copy = P.Acknowledged_;
   std::uint32_t Before = UpstreamTable::None;
   PacketFlowRow *Row = Flows_.find(Flow);
-  if (Row && Copy > 0 && !Row->Open_)
+  if (Row && Copy > 0 && !Row->Open_) {
     Before = Row->Upstream_;
-  if (Before != UpstreamTable::None) {
-    suspect(Before);
-    check(Before);
+    noteSilence(Before);
   }
-  ServiceId Service = drawService(Shares, Flow);
-  std::uint32_t Index = choose(Service, Flow, Copy, Before);
+  std::uint32_t Index = choose(drawService(Shares, Flow), Flow, Copy, Before);
   if (Index == UpstreamTable::None)
     return refuse(P, ErrorKind::NoneLeft);
-  noteOpening(P, Flow, Index);
   ++(Copy == 0 ? Counters_.Opened_ : Counters_.OpenMoved_);
-  decide(Copy == 0 ? Decision::Kind::Opened : Decision::Kind::OpenMoved, P,
-         Index, ErrorKind::None, Services_[raw(Service)].Eligible_.size());
+  return sendOpening(Copy == 0 ? Decision::Kind::Opened
+                               : Decision::Kind::OpenMoved,
+                     P, Flow, Index);
+}
+
+Verdict PacketBalancer::Impl::retryOpening(MonoTime Now, const Packet &P) {
+  Now_ = Now;
+  FlowId Flow = flowOf(P);
+  const std::vector<ServiceShare> *Shares =
+      Routing_ ? Routing_->find(P.Service_) : nullptr;
+  const PacketFlowRow *Row = Flows_.find(Flow);
+  if (!Shares || !Row || Row->Open_)
+    return Dropped{};
+  std::uint32_t Before = Row->Upstream_;
+  noteSilence(Before);
+  std::uint32_t Index =
+      choose(drawService(*Shares, Flow), Flow, RetryDraw, Before);
+  if (Index == UpstreamTable::None || Index == Before)
+    return Dropped{};
+  ++Counters_.OpenRetried_;
+  return sendOpening(Decision::Kind::OpenRetried, P, Flow, Index);
+}
+
+/// An opening got no answer from the upstream.
+void PacketBalancer::Impl::noteSilence(std::uint32_t Index) {
+  suspect(Index);
+  check(Index);
+}
+
+Forward PacketBalancer::Impl::sendOpening(Decision::Kind Kind, const Packet &P,
+                                          FlowId Flow, std::uint32_t Index) {
+  noteOpening(P, Flow, Index);
+  ServiceId Service = Details_[Index].Service_;
+  decide(Kind, P, Index, ErrorKind::None,
+         Services_[raw(Service)].Eligible_.size());
   const UpstreamRow &Up = Upstreams_[Index];
-  return Forward{Up.At_, Up.Incarnation_, cookieOf(Up.Incarnation_)};
+  return {Up.At_, Up.Incarnation_, cookieOf(Up.Incarnation_)};
 }
 
 std::uint32_t PacketBalancer::Impl::choose(ServiceId Service, FlowId Flow,
@@ -182,6 +213,9 @@
 Verdict PacketBalancer::steer(MonoTime Now, const Packet &P) {
   return Impl_->steer(Now, P);
 }
+Verdict PacketBalancer::retryOpening(MonoTime Now, const Packet &P) {
+  return Impl_->retryOpening(Now, P);
+}
 void PacketBalancer::setRouting(MonoTime, RoutingTablePtr Table) {
   Impl_->setRouting(std::move(Table));
 }
--- a/src/packet-log.cc
+++ b/src/packet-log.cc
@@ -14,6 +14,8 @@
     return "flow_opened";
   case Decision::Kind::OpenMoved:
     return "flow_open_moved";
+  case Decision::Kind::OpenRetried:
+    return "flow_open_retried";
   case Decision::Kind::Followed:
     return "flow_followed";
   case Decision::Kind::Refused:
--- a/src/packet-pages.cc
+++ b/src/packet-pages.cc
@@ -18,6 +18,7 @@
                                 {"packets", C.Packets_},
                                 {"opened", C.Opened_},
                                 {"open_moved", C.OpenMoved_},
+                                {"open_retried", C.OpenRetried_},
                                 {"followed", C.Followed_},
                                 {"resets", C.Resets_},
                                 {"upstream_checks", C.Checks_},
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -8,6 +8,7 @@
 #include "settings-watch.h"
 #include "thymewall/held-packets.h"
 #include "thymewall/log.h"
+#include "thymewall/unanswered-openings.h"
 #include "udp-socket.h"
 #include "upstream-checker.h"
 
@@ -75,6 +76,8 @@
   void onPacket(const std::uint8_t *Data, std::size_t Size);
   void steer(const std::uint8_t *Data, std::size_t Size);
   void noteReady();
+  void awaitAnswers();
+  void retryOpenings();
   void act(const Forward &F, const std::uint8_t *Data, std::size_t Size);
   void act(const ResetFlow &R, const std::uint8_t *Data, std::size_t Size);
   void act(const Dropped &D, const std::uint8_t *Data, std::size_t Size);
@@ -106,6 +109,7 @@
   RoutingTablePtr Routing_;
   PacketBalancer Core_;
   HeldPackets Held_; ///< Until the core is ready.
+  UnansweredOpenings Openings_;
   UpstreamChecker Checker_;
   IntentReader Reader_;
   IntentCaller Call_;
@@ -115,6 +119,7 @@
   std::optional<HttpServer> Metrics_;
   ServiceLog ServiceLog_;
   asio::steady_timer Timer_;
+  asio::steady_timer OpeningTimer_;
   asio::signal_set Signals_;
   MonoTime NextTick_{};
   MonoTime NextSettingsLook_{};
@@ -156,7 +161,8 @@
           [this](const std::string &Target, const HttpServer::Reply &Answer) {
             Answer(readinessPage(pathOf(Target)));
           }),
-      Timer_(Context), Signals_(Context, SIGTERM, SIGINT, SIGHUP) {
+      Timer_(Context), OpeningTimer_(Context),
+      Signals_(Context, SIGTERM, SIGINT, SIGHUP) {
   NextSettingsLook_ = monoNow() + SettingsLookEvery;
   awaitSignal();
   serveMetrics();
@@ -180,6 +186,34 @@
   }
   Verdict V = Core_.steer(LastPacket_, P);
   std::visit([&](const auto &Typed) { act(Typed, Data, Size); }, V);
+  bool FirstOpening = P.Opens_ && P.Acknowledged_ == 0;
+  if (!FirstOpening || !std::holds_alternative<Forward>(V))
+    return;
+  bool Awaiting = Openings_.dueAt() != MonoTime::max();
+  Openings_.add(LastPacket_, Data, Size);
+  if (!Awaiting)
+    awaitAnswers();
+}
+
+void PacketProcess::Impl::awaitAnswers() {
+  if (Openings_.dueAt() == MonoTime::max())
+    return;
+  OpeningTimer_.expires_at(toSteady(Openings_.dueAt()));
+  OpeningTimer_.async_wait([this](const asio::error_code &Error) {
+    if (!Error)
+      retryOpenings();
+  });
+}
+
+void PacketProcess::Impl::retryOpenings() {
+  MonoTime Now = monoNow();
+  Openings_.takeDue(Now, [&](const std::uint8_t *Data, std::size_t Size) {
+    Packet P;
+    Hooks_.Decode_(Data, Size, P);
+    Verdict V = Core_.retryOpening(Now, P);
+    std::visit([&](const auto &Typed) { act(Typed, Data, Size); }, V);
+  });
+  awaitAnswers();
 }
 
 void PacketProcess::Impl::act(const Forward &F, const std::uint8_t *Data,
--- a/test/packet-balancer-test.cc
+++ b/test/packet-balancer-test.cc
@@ -99,6 +99,43 @@
   }
 }
 
+TEST_CASE("an unanswered opening goes to another upstream of its service") {
+  PacketBalancer B = started();
+  for (std::uint16_t Port = 1; Port < 100; ++Port) {
+    Verdict First = B.steer(at(10ms), opening(Port));
+    Verdict Second = B.retryOpening(at(50ms), opening(Port));
+    REQUIRE(forwarded(Second));
+    CHECK(upstreamOf(Second) != upstreamOf(First));
+    CHECK(upstreamOf(Second) <= 4);
+    // Whichever answer the caller takes, its cookie leads there.
+    for (const Verdict &Taken : {First, Second})
+      CHECK(upstreamOf(B.steer(
+                at(60ms), following(Port, forwarded(Taken)->Cookie_, 1))) ==
+            upstreamOf(Taken));
+  }
+}
+
+TEST_CASE("an opening that was answered is not sent again") {
+  PacketBalancer B = started();
+  Verdict Opened = B.steer(at(10ms), opening(1));
+  B.steer(at(20ms), following(1, forwarded(Opened)->Cookie_, 1));
+  CHECK_FALSE(forwarded(B.retryOpening(at(50ms), opening(1))));
+  // Nor one of a flow that is not known here any more, or whose address the
+  // operators have taken away meanwhile.
+  CHECK_FALSE(forwarded(B.retryOpening(at(50ms), opening(2))));
+  B.steer(at(60ms), opening(3));
+  B.setRouting(at(70ms), table(2, {{ArchiveAt, Archive}}));
+  CHECK_FALSE(forwarded(B.retryOpening(at(100ms), opening(3))));
+  CHECK(B.counters().OpenRetried_ == 0);
+}
+
+TEST_CASE("with one upstream there is nowhere else to send an opening") {
+  PacketBalancer B = started();
+  B.applyUpstreams(at(0ms), {gone(12)});
+  REQUIRE(upstreamOf(B.steer(at(10ms), opening(1, 0, ArchiveAt))) == 11);
+  CHECK_FALSE(forwarded(B.retryOpening(at(50ms), opening(1, 0, ArchiveAt))));
+}
+
 TEST_CASE("services never mix") {
   PacketBalancer B = started();
   for (std::uint16_t Port = 1; Port < 100; ++Port) {
