Packets for which no upstream is published yet wait for one

Ruled out: reading the upstreams from the service's history (an entry's text is in it only if it was written in the last 20 s); a cookie that needs no list (docs/PLATFORM.md). Change: such packets are held as before the start, at most 1.2 s from their arrival, and tried again when upstreams change. Test first: held-packets-test, "a packet that can't be sent yet waits on".

--- a/include/thymewall/held-packets.h
+++ b/include/thymewall/held-packets.h
@@ -1,6 +1,7 @@
 /// \file
-/// Packets that arrive before a balancer knows where to send them: kept for a
-/// moment, since a caller's next copy comes only after 200 ms to 1.6 s.
+/// Packets that arrive before a balancer knows where to send them, since it has
+/// just started or the upstreams are not published yet: kept for a moment, as a
+/// caller's next copy comes only after 200 ms to 1.6 s.
 #ifndef THYMEWALL_HELD_PACKETS_H
 #define THYMEWALL_HELD_PACKETS_H
 
@@ -19,12 +20,14 @@
   /// About what arrives at an entry host of today in that time, twice.
   static constexpr std::size_t Bound = 2048;
 
+  /// False for a packet that still can't be sent on.
+  using Taker = std::function<bool(const std::uint8_t *Data, std::size_t Size)>;
+
   /// Keeps a copy; the oldest goes when there are too many.
   void hold(MonoTime Now, const std::uint8_t *Data, std::size_t Size);
-  /// Gives every packet that is not too old to \p Take, oldest first, and
-  /// forgets all.
-  void release(MonoTime Now, const std::function<void(const std::uint8_t *Data,
-                                                      std::size_t Size)> &Take);
+  /// Gives every packet that is not too old to \p Take, oldest first, and keeps
+  /// those that it does not take.
+  void release(MonoTime Now, const Taker &Take);
   std::size_t size() const { return Packets_.size(); }
 
 private:
--- a/src/held-packets.cc
+++ b/src/held-packets.cc
@@ -9,14 +9,14 @@
     Packets_.pop_front();
 }
 
-void HeldPackets::release(MonoTime Now,
-                          const std::function<void(const std::uint8_t *Data,
-                                                   std::size_t Size)> &Take) {
+void HeldPackets::release(MonoTime Now, const Taker &Take) {
   std::deque<Held> Packets;
   Packets.swap(Packets_);
-  for (const Held &Packet : Packets)
-    if (Now - Packet.At_ <= HoldFor)
-      Take(Packet.Bytes_.data(), Packet.Bytes_.size());
+  for (Held &Packet : Packets) {
+    bool TooOld = Now - Packet.At_ > HoldFor;
+    if (!TooOld && !Take(Packet.Bytes_.data(), Packet.Bytes_.size()))
+      Packets_.push_back(std::move(Packet));
+  }
 }
 
 } // namespace thymewall
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -44,6 +44,12 @@
   return std::max(S.RoutingWithin_ - Margin, Micros(0));
 }
 
+/// A refusal that ends once upstreams are published: all of them are missing
+/// for up to 2 s after the configuration service was away.
+bool mayPass(ErrorKind Why) {
+  return Why == ErrorKind::NoneLeft || Why == ErrorKind::UnknownCookie;
+}
+
 NewsOptions newsOptions(const PacketSettings &S) {
   return {{S.Name_, S.DataHall_, S.AdvertisedControl_, 0}, S.Seeds_};
 }
@@ -74,8 +80,10 @@
 
 private:
   void onPacket(const std::uint8_t *Data, std::size_t Size);
-  void steer(const std::uint8_t *Data, std::size_t Size);
+  bool steer(MonoTime Now, const std::uint8_t *Data, std::size_t Size);
+  void releaseHeld();
   void noteReady();
+  void awaitAnswer(MonoTime Now, const std::uint8_t *Data, std::size_t Size);
   void awaitAnswers();
   void retryOpenings();
   void act(const Forward &F, const std::uint8_t *Data, std::size_t Size);
@@ -173,24 +181,40 @@
 
 void PacketProcess::Impl::onPacket(const std::uint8_t *Data, std::size_t Size) {
   LastPacket_ = monoNow();
-  if (!Core_.ready())
-    return Held_.hold(LastPacket_, Data, Size);
-  steer(Data, Size);
+  if (!Core_.ready() || !steer(LastPacket_, Data, Size))
+    Held_.hold(LastPacket_, Data, Size);
 }
 
-void PacketProcess::Impl::steer(const std::uint8_t *Data, std::size_t Size) {
+/// False when the packet's upstream, or any for it, is not known yet.
+bool PacketProcess::Impl::steer(MonoTime Now, const std::uint8_t *Data,
+                                std::size_t Size) {
   Packet P;
   if (!Hooks_.Decode_(Data, Size, P)) {
     ++Malformed_;
-    return;
+    return true;
   }
-  Verdict V = Core_.steer(LastPacket_, P);
+  Verdict V = Core_.steer(Now, P);
   std::visit([&](const auto &Typed) { act(Typed, Data, Size); }, V);
+  if (const auto *D = std::get_if<Dropped>(&V))
+    return !mayPass(D->Why_);
   bool FirstOpening = P.Opens_ && P.Acknowledged_ == 0;
-  if (!FirstOpening || !std::holds_alternative<Forward>(V))
-    return;
+  if (FirstOpening && std::holds_alternative<Forward>(V))
+    awaitAnswer(Now, Data, Size);
+  return true;
+}
+
+/// Sends on what has waited for upstreams.
+void PacketProcess::Impl::releaseHeld() {
+  MonoTime Now = monoNow();
+  Held_.release(Now, [this, Now](const std::uint8_t *Data, std::size_t Size) {
+    return steer(Now, Data, Size);
+  });
+}
+
+void PacketProcess::Impl::awaitAnswer(MonoTime Now, const std::uint8_t *Data,
+                                      std::size_t Size) {
   bool Awaiting = Openings_.dueAt() != MonoTime::max();
-  Openings_.add(LastPacket_, Data, Size);
+  Openings_.add(Now, Data, Size);
   if (!Awaiting)
     awaitAnswers();
 }
@@ -269,9 +293,7 @@
   logState("ready", {{"routing_version", Routing_->Version_},
                      {"revision", News_.through()},
                      {"held_packets", Held_.size()}});
-  Held_.release(monoNow(), [this](const std::uint8_t *Data, std::size_t Size) {
-    steer(Data, Size);
-  });
+  releaseHeld();
 }
 
 /// After a stop signal: forwards until the fabric sends nothing any more.
@@ -352,6 +374,8 @@
   Hooks.OnUpstreams_ = [this](const std::vector<UpstreamChange> &Changes,
                               bool MayReturn) {
     Core_.applyUpstreams(monoNow(), Changes, MayReturn);
+    if (ReadyTold_)
+      releaseHeld();
   };
   Hooks.OnConfirmed_ = [this](MonoTime AsOf) { Core_.confirm(AsOf); };
   return Hooks;
--- a/test/held-packets-test.cc
+++ b/test/held-packets-test.cc
@@ -14,6 +14,7 @@
   Held.release(Now, [&](const std::uint8_t *Data, std::size_t Size) {
     REQUIRE(Size == 2);
     First.push_back(Data[0]);
+    return true;
   });
   return First;
 }
@@ -30,6 +31,24 @@
   CHECK(released(Held, at(50ms)).empty());
 }
 
+TEST_CASE("a packet that can't be sent yet waits on, as old as it is") {
+  HeldPackets Held;
+  std::uint8_t First[] = {1, 0};
+  std::uint8_t Second[] = {2, 0};
+  Held.hold(at(0ms), First, 2);
+  Held.hold(at(100ms), Second, 2);
+  Held.release(at(500ms), [](const std::uint8_t *Data, std::size_t) {
+    return Data[0] == 2; // nobody serves the first one yet
+  });
+  CHECK(Held.size() == 1);
+  SUBCASE("until it can be sent") {
+    CHECK(released(Held, at(1100ms)) == std::vector<std::uint8_t>{1});
+  }
+  SUBCASE("or its sender has given up") {
+    CHECK(released(Held, at(1300ms)).empty());
+  }
+}
+
 TEST_CASE("what its sender has given up is not sent on") {
   HeldPackets Held;
   std::uint8_t Old[] = {1, 0};
