An upstream whose address was handed on has ended; ejections in a row grow

Upstreams fell silent and their addresses went to upstreams of another service. Ruled out: health requests as checks (they take a slot, cost ten times as much, and tell no incarnation either). Change: of two upstreams published at one address the one with the older revision has ended: dead for good, flows reset, no checks. Where the newer entry can't be read yet, ejections in a row grow from 2 to 8 s until an answered opening.

--- a/include/thymewall/upstream-table.h
+++ b/include/thymewall/upstream-table.h
@@ -23,6 +23,7 @@
   std::uint32_t InFlight_ = 0;      ///< Requests sent by this balancer.
   std::uint32_t ReportedFlows_ = 0; ///< Its own count, as last reported.
   std::uint32_t Failures_ = 0;      ///< In a row.
+  std::uint32_t Ejections_ = 0;     ///< In a row.
   MonoTime EjectedUntil_{};
   MonoTime WarmAt_{}; ///< End of its cold start.
   bool Declared_ = false;
@@ -73,6 +74,9 @@
   static constexpr Micros ColdStart = std::chrono::seconds(5);
   static constexpr Micros Ejection = std::chrono::seconds(2);
   static constexpr std::uint32_t FailuresToEject = 3;
+  /// Ejections in a row double up to this many times the first: a living
+  /// upstream is seen to serve before, a dead one costs callers less and less.
+  static constexpr std::uint32_t LongestEjection = 4;
 
   explicit UpstreamTable(std::uint32_t FailuresInARow = FailuresToEject)
       : FailuresInARow_(FailuresInARow) {}
@@ -92,7 +96,8 @@
   std::uint32_t adopt(UpstreamId Id, const Endpoint &At);
   void succeeded(std::uint32_t Index);
   /// Counts a failure; after some in a row the upstream is ejected until
-  /// \p Now plus an ejection time spread by \p Jitter (0 to 1).
+  /// \p Now plus an ejection time that grows with ejections in a row and is
+  /// spread by \p Jitter (0 to 1).
   void failed(std::uint32_t Index, MonoTime Now, double Jitter);
   /// Gives the upstream no new flows before \p Until.
   void eject(std::uint32_t Index, MonoTime Until);
--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -63,6 +63,7 @@
     bool Lapsed_ = false;
     bool Gone_ = false;
     bool Draining_ = false;
+    bool Ended_ = false; ///< Another upstream has its address now.
   };
   /// The upstreams of a service and those among them that take new flows.
   struct ServiceState {
@@ -103,6 +104,9 @@
   void recheckDead();
   void setAlive(std::uint32_t Index);
   void setDead(std::uint32_t Index);
+  void noteAddress(std::uint32_t Index);
+  void setEnded(std::uint32_t Index);
+  void forgetBeliefs();
   void giveUpFlows(std::uint32_t Index);
   void believe(Belief::Kind Kind, std::uint32_t Index) const;
   void decide(Decision::Kind Kind, const Packet &P, std::uint32_t Index,
@@ -121,6 +125,8 @@
   std::vector<Detail> Details_; ///< Same index as `Upstreams_`.
   std::unordered_map<std::uint32_t, ServiceState> Services_;
   std::unordered_map<std::uint32_t, std::uint32_t> IndexOfCookie_;
+  /// The upstream that was published last at an address.
+  std::unordered_map<Endpoint, std::uint32_t, EndpointHash> HolderOf_;
   detail::PacketFlowTable Flows_;
   MonoTime Now_{};
   MonoTime KnownAsOf_{};
--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -38,8 +38,8 @@
 /// A packet got no answer in the time after which it is sent again.
 void PacketBalancer::Impl::check(std::uint32_t Index) {
   Detail &D = Details_[Index];
-  bool Skip = !Options_.OnCheck_ || D.NextCheckAt_ > Now_ || D.Draining_;
-  if (Skip)
+  bool Wanted = Options_.OnCheck_ && !D.Draining_ && !D.Ended_;
+  if (!Wanted || D.NextCheckAt_ > Now_)
     return;
   D.NextCheckAt_ = Now_ + CheckEvery;
   ++Counters_.Checks_;
@@ -59,6 +59,8 @@
 }
 
 void PacketBalancer::Impl::setAlive(std::uint32_t Index) {
+  if (Details_[Index].Ended_)
+    return; // the other upstream at its address answered
   Upstreams_.setDead(Index, false);
   believe(Belief::Kind::Checked, Index);
 }
@@ -91,7 +93,37 @@
   setDead(Index);
 }
 
+/// An address is handed on only when the upstream that had it has ended, so of
+/// two upstreams at one address the one published earlier has ended.
+void PacketBalancer::Impl::noteAddress(std::uint32_t Index) {
+  auto [Item, First] = HolderOf_.try_emplace(Upstreams_[Index].At_, Index);
+  if (First || Item->second == Index)
+    return;
+  std::uint32_t Other = Item->second;
+  bool OtherLater = Details_[Other].Revision_ > Details_[Index].Revision_;
+  if (!OtherLater)
+    Item->second = Index;
+  setEnded(OtherLater ? Index : Other);
+}
+
+void PacketBalancer::Impl::setEnded(std::uint32_t Index) {
+  if (Details_[Index].Ended_)
+    return;
+  Details_[Index].Ended_ = true;
+  setDead(Index);
+}
+
+/// After a late wake; what has ended stays so.
+void PacketBalancer::Impl::forgetBeliefs() {
+  Upstreams_.forgetBeliefs();
+  for (std::uint32_t Index = 0; Index < Details_.size(); ++Index)
+    if (Details_[Index].Ended_)
+      Upstreams_.setDead(Index, true);
+}
+
 void PacketBalancer::Impl::giveUpFlows(std::uint32_t Index) {
+  if (!Options_.OnReset_)
+    return;
   std::vector<FlowId> Lost;
   Flows_.forEach([&](const PacketFlowRow &Row) {
     if (Row.Upstream_ == Index && Row.Open_)
@@ -147,6 +179,7 @@
   D.Gone_ = false;
   if (Returned)
     D.RecheckAt_ = Now_;
+  noteAddress(Index);
   if (Fresh || Returned)
     believe(Belief::Kind::Listed, Index);
   if (NewlyDraining)
@@ -202,6 +235,9 @@
 void PacketBalancer::Impl::forget(std::uint32_t Index) {
   Detail &D = Details_[Index];
   IndexOfCookie_.erase(cookieOf(Upstreams_[Index].Incarnation_));
+  auto Holder = HolderOf_.find(Upstreams_[Index].At_);
+  if (Holder != HolderOf_.end() && Holder->second == Index)
+    HolderOf_.erase(Holder);
   std::vector<std::uint32_t> &Of = Services_[raw(D.Service_)].Members_;
   Of.erase(std::remove(Of.begin(), Of.end(), Index), Of.end());
   Upstreams_.release(Index);
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -177,7 +177,7 @@
   if (Now > NextTickBy_) {
     ++Counters_.LateWakes_;
     KnownAsOf_ = MonoTime{}; // whatever was known may be over
-    Upstreams_.forgetBeliefs();
+    forgetBeliefs();
   }
   NextTickBy_ = Now + TickEvery + LateAfter;
   Flows_.expire(dueTick(Micros(0)),
--- a/src/upstream-table.cc
+++ b/src/upstream-table.cc
@@ -181,12 +181,21 @@
 
 void UpstreamTable::succeeded(std::uint32_t Index) {
   Rows_[Index].Failures_ = 0;
+  Rows_[Index].Ejections_ = 0;
 }
 
 void UpstreamTable::failed(std::uint32_t Index, MonoTime Now, double Jitter) {
-  if (++Rows_[Index].Failures_ < FailuresInARow_)
+  UpstreamRow &Row = Rows_[Index];
+  if (++Row.Failures_ < FailuresInARow_)
     return;
-  auto Spread = std::chrono::duration_cast<Micros>(Ejection * (0.5 + Jitter));
+  // What fails while it is ejected was sent before: the same failure.
+  bool Ejected = Row.EjectedUntil_ > Now;
+  if (!Ejected)
+    ++Row.Ejections_;
+  std::uint32_t Times =
+      std::min(LongestEjection, 1U << std::min(Row.Ejections_ - 1, 8U));
+  auto Spread =
+      std::chrono::duration_cast<Micros>(Ejection * (0.5 + Jitter) * Times);
   eject(Index, Now + Spread);
 }
 
@@ -209,6 +218,7 @@
   for (UpstreamRow &Row : Rows_) {
     Row.Dead_ = false;
     Row.Failures_ = 0;
+    Row.Ejections_ = 0;
     Row.EjectedUntil_ = {};
   }
   ++Generation_;
--- a/test/upstream-table-test.cc
+++ b/test/upstream-table-test.cc
@@ -84,6 +84,21 @@
   }
 }
 
+TEST_CASE("ejections in a row grow, until the upstream is seen to serve") {
+  UpstreamTable Table(1);
+  Table.declare(declare(1), at(0));
+  auto EjectedFor = [&](int Now) {
+    Table.failed(0, at(Now), 0.5);
+    return Table.rows()[0].EjectedUntil_ - at(Now);
+  };
+  CHECK(EjectedFor(0) == UpstreamTable::Ejection);
+  CHECK(EjectedFor(10'000) == 2 * UpstreamTable::Ejection);
+  CHECK(EjectedFor(20'000) == 4 * UpstreamTable::Ejection);
+  CHECK(EjectedFor(30'000) == 4 * UpstreamTable::Ejection);
+  Table.succeeded(0);
+  CHECK(EjectedFor(40'000) == UpstreamTable::Ejection);
+}
+
 TEST_CASE("the dead are left out however many they are, unless all are") {
   UpstreamTable Table;
   Table.declare(declare(4), at(0));
