Retries of openings, pages and members of services each stand once

Change: opening-retries.h is the timer around the pure queue; process-pages.h picks the page; joinService and leaveService.

--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -52,6 +52,7 @@
   /// What belongs to a row of the upstream table with the same index.
   struct Detail {
     ServiceId Service_{};
+    bool Member_ = false; ///< Of the service.
     std::string DataHall_;
     Revision Revision_ = 0;
     MonoTime LapsedUntil_{};     ///< While it may come back.
@@ -111,7 +112,8 @@
   void believe(Belief::Kind Kind, std::uint32_t Index) const;
   void decide(Decision::Kind Kind, const Packet &P, std::uint32_t Index,
               ErrorKind Why, std::size_t Candidates) const;
-  void moveTo(std::uint32_t Index, ServiceId Service);
+  void joinService(std::uint32_t Index, ServiceId Service);
+  void leaveService(std::uint32_t Index);
   std::uint32_t dueTick(Micros After) const;
   std::string_view whyNotChosen(std::uint32_t Index, MonoTime Now) const;
   bool allowed(const Endpoint &Service, ServiceId Id) const;
--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -168,7 +168,7 @@
   IndexOfCookie_[Mark] = Index;
   Upstreams_[Index].Incarnation_ = Entry.Incarnation_;
   Upstreams_.setLeaving(static_cast<UpstreamId>(Mark), Entry.Draining_);
-  moveTo(Index, Entry.Service_);
+  joinService(Index, Entry.Service_);
   Detail &D = Details_[Index];
   bool NewlyDraining = Entry.Draining_ && !D.Draining_;
   bool Returned = D.Lapsed_ || D.Gone_;
@@ -186,14 +186,24 @@
     believe(Belief::Kind::Draining, Index);
 }
 
-void PacketBalancer::Impl::moveTo(std::uint32_t Index, ServiceId Service) {
+void PacketBalancer::Impl::joinService(std::uint32_t Index, ServiceId Service) {
   Detail &D = Details_[Index];
-  std::vector<std::uint32_t> &Old = Services_[raw(D.Service_)].Members_;
-  Old.erase(std::remove(Old.begin(), Old.end(), Index), Old.end());
+  if (D.Member_ && D.Service_ == Service)
+    return;
+  if (D.Member_)
+    leaveService(Index);
   D.Service_ = Service;
+  D.Member_ = true;
   Services_[raw(Service)].Members_.push_back(Index);
 }
 
+void PacketBalancer::Impl::leaveService(std::uint32_t Index) {
+  Detail &D = Details_[Index];
+  std::vector<std::uint32_t> &Of = Services_[raw(D.Service_)].Members_;
+  Of.erase(std::remove(Of.begin(), Of.end(), Index), Of.end());
+  D.Member_ = false;
+}
+
 void PacketBalancer::Impl::end(const UpstreamChange &Change, bool MayReturn) {
   auto Known = IndexOfCookie_.find(cookieOf(Change.Incarnation_));
   if (Known == IndexOfCookie_.end())
@@ -238,8 +248,7 @@
   auto Holder = HolderOf_.find(Upstreams_[Index].At_);
   if (Holder != HolderOf_.end() && Holder->second == Index)
     HolderOf_.erase(Holder);
-  std::vector<std::uint32_t> &Of = Services_[raw(D.Service_)].Members_;
-  Of.erase(std::remove(Of.begin(), Of.end(), Index), Of.end());
+  leaveService(Index);
   Upstreams_.release(Index);
   D = Detail{};
 }
--- a/src/packet-pages.cc
+++ b/src/packet-pages.cc
@@ -54,11 +54,10 @@
 std::string metricsText(const PacketReport &R) {
   std::string Text;
   for (const Number &N : numbers(R))
-    Text += "thymewall_" + N.first + " " + std::to_string(N.second) + "\n";
-  Text += "thymewall_routing_version " +
-          std::to_string(R.Status_.RoutingVersion_) + "\n";
-  Text +=
-      "thymewall_knowledge_age_ms " + std::to_string(knowledgeAgeMs(R)) + "\n";
+    Text += metricLine(N.first, static_cast<std::int64_t>(N.second));
+  Text += metricLine("routing_version",
+                     static_cast<std::int64_t>(R.Status_.RoutingVersion_));
+  Text += metricLine("knowledge_age_ms", knowledgeAgeMs(R));
   return Text + R.Delays_->prometheus("thymewall_delay_seconds");
 }
 
@@ -119,13 +118,10 @@
 } // namespace
 
 HttpPage packetPage(const PacketReport &R, const std::string &Path) {
-  if (Path == "/metrics")
-    return {200, "text/plain; version=0.0.4", metricsText(R)};
-  if (Path == "/status")
-    return {200, "application/json", statusText(R)};
-  if (Path == "/histograms")
-    return {200, "application/json", R.Delays_->json()};
-  return {404, "text/plain", ""};
+  return processPage({[&] { return metricsText(R); },
+                      [&] { return statusText(R); },
+                      [&] { return R.Delays_->json(); }},
+                     Path);
 }
 
 } // namespace thymewall::detail
--- a/src/packet-pages.h
+++ b/src/packet-pages.h
@@ -3,7 +3,7 @@
 #ifndef THYMEWALL_SRC_PACKET_PAGES_H
 #define THYMEWALL_SRC_PACKET_PAGES_H
 
-#include "http-server.h"
+#include "process-pages.h"
 #include "thymewall/metrics.h"
 #include "thymewall/news.h"
 #include "thymewall/packet-balancer.h"
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -2,13 +2,13 @@
 
 #include "clock.h"
 #include "http-server.h"
+#include "opening-retries.h"
 #include "packet-log.h"
 #include "packet-pages.h"
 #include "peer-links.h"
 #include "settings-watch.h"
 #include "thymewall/held-packets.h"
 #include "thymewall/log.h"
-#include "thymewall/unanswered-openings.h"
 #include "udp-socket.h"
 #include "upstream-checker.h"
 
@@ -83,9 +83,7 @@
   bool steer(MonoTime Now, const std::uint8_t *Data, std::size_t Size);
   void releaseHeld();
   void noteReady();
-  void awaitAnswer(MonoTime Now, const std::uint8_t *Data, std::size_t Size);
-  void awaitAnswers();
-  void retryOpenings();
+  void retryOpening(MonoTime Now, const std::uint8_t *Data, std::size_t Size);
   void act(const Forward &F, const std::uint8_t *Data, std::size_t Size);
   void act(const ResetFlow &R, const std::uint8_t *Data, std::size_t Size);
   void act(const Dropped &D, const std::uint8_t *Data, std::size_t Size);
@@ -117,7 +115,7 @@
   RoutingTablePtr Routing_;
   PacketBalancer Core_;
   HeldPackets Held_; ///< Until the core is ready.
-  UnansweredOpenings Openings_;
+  OpeningRetries Openings_;
   UpstreamChecker Checker_;
   IntentReader Reader_;
   IntentCaller Call_;
@@ -127,7 +125,6 @@
   std::optional<HttpServer> Metrics_;
   ServiceLog ServiceLog_;
   asio::steady_timer Timer_;
-  asio::steady_timer OpeningTimer_;
   asio::signal_set Signals_;
   MonoTime NextTick_{};
   MonoTime NextSettingsLook_{};
@@ -155,6 +152,9 @@
           },
           [this](const UpstreamCheck &Wanted) { Checker_.check(Wanted); },
           [this](const ResetFlow &R) { sendReset(R); })),
+      Openings_(Context,
+                [this](MonoTime Now, const std::uint8_t *Data,
+                       std::size_t Size) { retryOpening(Now, Data, Size); }),
       Checker_(
           Context,
           [this](Incarnation Upstream, CheckResult Result, MonoTime Began) {
@@ -169,8 +169,7 @@
           [this](const std::string &Target, const HttpServer::Reply &Answer) {
             Answer(readinessPage(pathOf(Target)));
           }),
-      Timer_(Context), OpeningTimer_(Context),
-      Signals_(Context, SIGTERM, SIGINT, SIGHUP) {
+      Timer_(Context), Signals_(Context, SIGTERM, SIGINT, SIGHUP) {
   NextSettingsLook_ = monoNow() + SettingsLookEvery;
   awaitSignal();
   serveMetrics();
@@ -199,7 +198,7 @@
     return !mayPass(D->Why_);
   bool FirstOpening = P.Opens_ && P.Acknowledged_ == 0;
   if (FirstOpening && std::holds_alternative<Forward>(V))
-    awaitAnswer(Now, Data, Size);
+    Openings_.sent(Now, Data, Size);
   return true;
 }
 
@@ -211,33 +210,12 @@
   });
 }
 
-void PacketProcess::Impl::awaitAnswer(MonoTime Now, const std::uint8_t *Data,
-                                      std::size_t Size) {
-  bool Awaiting = Openings_.dueAt() != MonoTime::max();
-  Openings_.add(Now, Data, Size);
-  if (!Awaiting)
-    awaitAnswers();
-}
-
-void PacketProcess::Impl::awaitAnswers() {
-  if (Openings_.dueAt() == MonoTime::max())
-    return;
-  OpeningTimer_.expires_at(toSteady(Openings_.dueAt()));
-  OpeningTimer_.async_wait([this](const asio::error_code &Error) {
-    if (!Error)
-      retryOpenings();
-  });
-}
-
-void PacketProcess::Impl::retryOpenings() {
-  MonoTime Now = monoNow();
-  Openings_.takeDue(Now, [&](const std::uint8_t *Data, std::size_t Size) {
-    Packet P;
-    Hooks_.Decode_(Data, Size, P);
-    Verdict V = Core_.retryOpening(Now, P);
-    std::visit([&](const auto &Typed) { act(Typed, Data, Size); }, V);
-  });
-  awaitAnswers();
+void PacketProcess::Impl::retryOpening(MonoTime Now, const std::uint8_t *Data,
+                                       std::size_t Size) {
+  Packet P;
+  Hooks_.Decode_(Data, Size, P);
+  Verdict V = Core_.retryOpening(Now, P);
+  std::visit([&](const auto &Typed) { act(Typed, Data, Size); }, V);
 }
 
 void PacketProcess::Impl::act(const Forward &F, const std::uint8_t *Data,
--- a/src/status-page.cc
+++ b/src/status-page.cc
@@ -77,19 +77,16 @@
 std::string metricsText(const StatusReport &R) {
   std::string Text;
   for (const Number &N : numbers(R))
-    Text += "thymewall_" + N.first + " " + std::to_string(N.second) + "\n";
-  Text += "thymewall_version " + std::to_string(R.Status_.InForce_) + "\n";
+    Text += metricLine(N.first, static_cast<std::int64_t>(N.second));
+  Text += metricLine("version", static_cast<std::int64_t>(R.Status_.InForce_));
   return Text + R.Delays_->prometheus("thymewall_delay_seconds");
 }
 
 HttpPage statusPage(const StatusReport &R, const std::string &Path) {
-  if (Path == "/status")
-    return {200, "application/json", statusJson(R)};
-  if (Path == "/metrics")
-    return {200, "text/plain; version=0.0.4", metricsText(R)};
-  if (Path == "/histograms")
-    return {200, "application/json", R.Delays_->json()};
-  return {404, "text/plain", ""};
+  return processPage({[&] { return metricsText(R); },
+                      [&] { return statusJson(R); },
+                      [&] { return R.Delays_->json(); }},
+                     Path);
 }
 
 } // namespace thymewall::detail
--- a/src/status-page.h
+++ b/src/status-page.h
@@ -4,7 +4,7 @@
 #ifndef THYMEWALL_SRC_STATUS_PAGE_H
 #define THYMEWALL_SRC_STATUS_PAGE_H
 
-#include "http-server.h"
+#include "process-pages.h"
 #include "thymewall/balancer.h"
 #include "thymewall/metrics.h"
 
