--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -32,6 +32,7 @@
   explicit Impl(PacketBalancerOptions Options);
 
   Verdict steer(MonoTime Now, const Packet &P);
+  Verdict retryOpening(MonoTime Now, const Packet &P);
   void setRouting(RoutingTablePtr Table);
   void applyUpstreams(MonoTime Now, const std::vector<UpstreamChange> &Changes,
                       bool MayReturn);
@@ -51,6 +52,7 @@
   /// What belongs to a row of the upstream table with the same index.
   struct Detail {
     ServiceId Service_{};
+    bool Member_ = false; ///< Of the service.
     std::string DataHall_;
     Revision Revision_ = 0;
     MonoTime LapsedUntil_{};     ///< While it may come back.
@@ -62,6 +64,7 @@
     bool Lapsed_ = false;
     bool Gone_ = false;
     bool Draining_ = false;
+    bool Ended_ = false; ///< Another upstream has its address now.
   };
   /// The upstreams of a service and those among them that take new flows.
   struct ServiceState {
@@ -74,6 +77,9 @@
                const std::vector<ServiceShare> &Shares);
   Verdict follow(const Packet &P, FlowId Flow);
   Verdict refuse(const Packet &P, ErrorKind Why);
+  void noteSilence(std::uint32_t Index);
+  Forward sendOpening(Decision::Kind Kind, const Packet &P, FlowId Flow,
+                      std::uint32_t Index);
   std::uint32_t choose(ServiceId Service, FlowId Flow, std::uint32_t Copy,
                        std::uint32_t Avoid);
   const Eligible &eligible(ServiceState &State);
@@ -86,6 +92,8 @@
   void measure(const detail::PacketFlowRow &Row, DelayClass Class) const;
   void setInProgress(detail::PacketFlowRow &Row, bool InProgress);
   void endFlow(detail::PacketFlowRow &Row);
+  void moveFlow(detail::PacketFlowRow &Row, std::uint32_t Index);
+  void countIn(const detail::PacketFlowRow &Row);
   void countOut(const detail::PacketFlowRow &Row);
   void put(const UpstreamChange &Change);
   void end(const UpstreamChange &Change, bool MayReturn);
@@ -97,11 +105,15 @@
   void recheckDead();
   void setAlive(std::uint32_t Index);
   void setDead(std::uint32_t Index);
+  void noteAddress(std::uint32_t Index);
+  void setEnded(std::uint32_t Index);
+  void forgetBeliefs();
   void giveUpFlows(std::uint32_t Index);
   void believe(Belief::Kind Kind, std::uint32_t Index) const;
   void decide(Decision::Kind Kind, const Packet &P, std::uint32_t Index,
               ErrorKind Why, std::size_t Candidates) const;
-  void moveTo(std::uint32_t Index, ServiceId Service);
+  void joinService(std::uint32_t Index, ServiceId Service);
+  void leaveService(std::uint32_t Index);
   std::uint32_t dueTick(Micros After) const;
   std::string_view whyNotChosen(std::uint32_t Index, MonoTime Now) const;
   bool allowed(const Endpoint &Service, ServiceId Id) const;
@@ -115,6 +127,8 @@
   std::vector<Detail> Details_; ///< Same index as `Upstreams_`.
   std::unordered_map<std::uint32_t, ServiceState> Services_;
   std::unordered_map<std::uint32_t, std::uint32_t> IndexOfCookie_;
+  /// The upstream that was published last at an address.
+  std::unordered_map<Endpoint, std::uint32_t, EndpointHash> HolderOf_;
   detail::PacketFlowTable Flows_;
   MonoTime Now_{};
   MonoTime KnownAsOf_{};
