A list that keeps coming is not given up

On a site file of our own (300 hosts, 3,000 upstreams) every balancer reads about 1 MB; the service's link needs 2.4 s for all, each list was given up after 1 s, and all asked again: the first were ready 4.4 s after the kill. Ruled out: the reading limit (no call got 429), growing pauses (a start knows no fleet), processor time of decoding (balancers with 0.12 and 0.5 of a core were ready alike). Tests first: http-test, "an answer that keeps coming" (failed), "an answer that stops coming".

--- a/include/thymewall/intent-reader.h
+++ b/include/thymewall/intent-reader.h
@@ -19,7 +19,8 @@
   Kind Kind_ = Kind::List;
   Revision After_ = 0;
   MonoTime WaitUntil_{}; ///< A watch without news is answered by then.
-  MonoTime GiveUpAt_{};  ///< No answer by then counts as a failure.
+  /// No answer, or no first page of a list, by then counts as a failure.
+  MonoTime GiveUpAt_{};
 };
 
 /// What came of a call.
--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -20,6 +20,10 @@
 /// Largest answer: a page of items with some room.
 constexpr std::uint64_t MaxBody = 8 << 20;
 constexpr std::size_t ReadSize = 16384;
+/// An answer that has begun fails once nothing more of it has come for this
+/// long: a whole list may take seconds when a fleet starts at once, and one
+/// that is given up and asked for again takes as long again.
+constexpr auto QuietFor = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -34,12 +38,8 @@
     OnAnswer_ = std::move(OnAnswer);
     Request_ = "GET " + Target + " HTTP/1.1\r\nHost: " + Host_ + "\r\n\r\n";
     ++Call_;
-    Timer_.expires_at(By);
-    Timer_.async_wait([Self = shared_from_this(),
-                       Call = Call_](const asio::error_code &Error) {
-      if (!Error && Self->Call_ == Call)
-        Self->fail("no answer in time");
-    });
+    FailAt_ = By;
+    watchTime();
     if (Socket_.is_open())
       send();
     else
@@ -68,6 +68,20 @@
     };
   }
 
+  /// Ends the call at `FailAt_`, which moves on while an answer comes.
+  void watchTime() {
+    Timer_.expires_at(FailAt_);
+    Timer_.async_wait([Self = shared_from_this(),
+                       Call = Call_](const asio::error_code &Error) {
+      if (Error || Self->Call_ != Call)
+        return;
+      if (Self->FailAt_ > std::chrono::steady_clock::now())
+        Self->watchTime();
+      else
+        Self->fail("no answer in time");
+    });
+  }
+
   void connect() {
     Socket_.async_connect(
         {Server_.address(), Server_.port()}, during([](Impl &Self) {
@@ -98,6 +112,7 @@
   }
 
   void parse(std::size_t Size) {
+    FailAt_ = std::max(FailAt_, std::chrono::steady_clock::now() + QuietFor);
     Pending_.append(Buffer_.data(), Size);
     boost::system::error_code Error;
     std::size_t Used = 0;
@@ -144,6 +159,7 @@
 
   asio::ip::tcp::socket Socket_;
   asio::steady_timer Timer_;
+  std::chrono::steady_clock::time_point FailAt_;
   asio::ip::udp::endpoint Server_;
   std::string Host_;
   std::string Request_;
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -5,6 +5,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <asio/read_until.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <doctest/doctest.h>
 
@@ -17,7 +18,8 @@
 using asio::ip::tcp;
 
 /// Answers each request on a connection with the next scripted text; an empty
-/// text closes the connection, and after the last one nothing is said.
+/// text closes the connection, and after the last one nothing is said. A form
+/// feed in a text stands for a pause.
 class ScriptedServer {
 public:
   ScriptedServer(asio::io_context &Context, std::vector<std::string> Script)
@@ -55,15 +57,37 @@
           auto Text = std::make_shared<std::string>(Script_[Next_++]);
           if (Text->empty())
             return; // the last owner of the socket closes it
-          asio::async_write(
-              *Socket, asio::buffer(*Text),
-              [this, Socket, Text](const asio::error_code &E, std::size_t) {
-                if (!E && Text->find("close") == std::string::npos)
-                  serve(Socket);
-              });
+          write(Socket, Text);
         });
   }
 
+  void write(const std::shared_ptr<tcp::socket> &Socket,
+             const std::shared_ptr<std::string> &Text) {
+    std::size_t Pause = Text->find('\f');
+    std::string Rest =
+        Pause == std::string::npos ? "" : Text->substr(Pause + 1);
+    Text->resize(std::min(Pause, Text->size()));
+    asio::async_write(
+        *Socket, asio::buffer(*Text),
+        [this, Socket, Text, Rest](const asio::error_code &E, std::size_t) {
+          if (E)
+            return;
+          if (!Rest.empty())
+            return writeLater(Socket, std::make_shared<std::string>(Rest));
+          if (Text->find("close") == std::string::npos)
+            serve(Socket);
+        });
+  }
+
+  void writeLater(const std::shared_ptr<tcp::socket> &Socket,
+                  const std::shared_ptr<std::string> &Text) {
+    auto Timer = std::make_shared<asio::steady_timer>(
+        Acceptor_.get_executor(), std::chrono::milliseconds(400));
+    Timer->async_wait([this, Socket, Text, Timer](const asio::error_code &) {
+      write(Socket, Text);
+    });
+  }
+
   tcp::acceptor Acceptor_;
   std::vector<std::string> Script_;
   std::vector<std::shared_ptr<tcp::socket>> Silent_;
@@ -144,6 +168,22 @@
 
 } // namespace
 
+TEST_CASE("an answer that keeps coming may take longer than its deadline") {
+  asio::io_context Context;
+  std::string Slow = ok("whole");
+  Slow.insert(Slow.size() - 2, "\f"); // 400 ms; the deadline is after 300 ms
+  ScriptedServer Server(Context, {Slow, ok("next")});
+  CHECK(calls(Context, Server.at(), 2) == Strings{"200 whole", "200 next"});
+}
+
+TEST_CASE("an answer that stops coming fails") {
+  asio::io_context Context;
+  std::string Half = ok("whole");
+  Half.resize(Half.size() - 2);
+  ScriptedServer Server(Context, {Half, ok("next")});
+  CHECK(calls(Context, Server.at(), 2) == Strings{"failed", "200 next"});
+}
+
 TEST_CASE("calls share a connection as long as it holds") {
   asio::io_context Context;
   ScriptedServer Server(Context, {ok("a"), ok("b"), ok("c")});
