An upstream that sits on requests gets no new flows for a while

Only requests in progress spoke against them, and each caller's giving up took that back. Ruled out: resets (long work looks alike); judging by what upstreams answer (answers don't pass here); a scan of flows for old requests (their number has no bound). Change: each upstream has the time of the first request since its last answer. More than 600 ms at a tick is a stall: no new flows for 2 s, doubled with stalls in a row up to 16 s; an answer ends the row; a request counts once; a late wake forgets all. The end of a flow that acknowledges an answer counts as one. Test first: upstream-check-test (6 cases).

--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -69,6 +69,7 @@
     Lapsed,
     Gone,
     Ejected,
+    Stalled, ///< It takes requests and answers none.
     Checked, ///< It was suspected, and lives.
     Dead     ///< Its flows are given up.
   };
@@ -114,6 +115,7 @@
   std::uint64_t Resets_ = 0;
   std::uint64_t Checks_ = 0;
   std::uint64_t Dead_ = 0; ///< Upstreams held to be dead.
+  std::uint64_t Stalled_ = 0;
   std::uint64_t LateWakes_ = 0;
 };
 
--- a/src/packet-balancer-flows.cc
+++ b/src/packet-balancer-flows.cc
@@ -77,18 +77,21 @@
     return;
   if (Row->Upstream_ != Index)
     moveFlow(*Row, Index);
+  bool Progress = !Row->Open_ || P.Acknowledged_ != Row->Acknowledged_;
+  bool Answered = Row->Open_ && Progress;
+  if (Answered)
+    noteAnswer(Index);
   if (P.Finishes_ || P.Resets_)
     return endFlow(*Row);
-  bool Progress = !Row->Open_ || P.Acknowledged_ != Row->Acknowledged_;
   bool SentAgain = !Progress && Row->InProgress_ && P.DataSize_ > 0 &&
                    P.Sequence_ == Row->Sequence_;
   if (Progress)
-    Details_[Row->Upstream_].ProgressAt_ = Now_;
+    Details_[Index].ProgressAt_ = Now_;
   if (SentAgain)
-    check(Row->Upstream_);
+    check(Index);
   if (!Row->Open_) {
     Row->Open_ = true;
-    Upstreams_.succeeded(Row->Upstream_);
+    Upstreams_.succeeded(Index);
     measure(*Row, DelayClass::Open);
     Row->Since_ = Now_; // its request comes right behind
   } else if (Progress) {
@@ -101,6 +104,7 @@
     return;
   Row->Sequence_ = P.Sequence_;
   setInProgress(*Row, true);
+  noteRequest(Index);
 }
 
 /// An opening went to two upstreams, and the caller took the other's answer.
--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -55,9 +55,12 @@
     bool Member_ = false; ///< Of the service.
     std::string DataHall_;
     Revision Revision_ = 0;
-    MonoTime LapsedUntil_{};     ///< While it may come back.
-    MonoTime ForgetAt_{};        ///< When a gone upstream's row is given back.
-    MonoTime ProgressAt_{};      ///< Last sign of life in any of its flows.
+    MonoTime LapsedUntil_{}; ///< While it may come back.
+    MonoTime ForgetAt_{};    ///< When a gone upstream's row is given back.
+    MonoTime ProgressAt_{};  ///< Last sign of life in any of its flows.
+    /// The first request that was sent to it since its last answer; none: 0.
+    MonoTime WaitingSince_{};
+    std::uint32_t Stalls_ = 0;   ///< In a row.
     MonoTime NextCheckAt_{};     ///< Not checked before, whatever is suspected.
     MonoTime RecheckAt_{};       ///< While it is dead.
     std::uint32_t Rechecks_ = 0; ///< Since it was found dead.
@@ -103,6 +106,9 @@
   void suspect(std::uint32_t Index);
   void check(std::uint32_t Index);
   void recheckDead();
+  void noteRequest(std::uint32_t Index);
+  void noteAnswer(std::uint32_t Index);
+  void noteStalls();
   void setAlive(std::uint32_t Index);
   void setDead(std::uint32_t Index);
   void noteAddress(std::uint32_t Index);
--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -17,6 +17,14 @@
 constexpr Micros FirstRecheck = std::chrono::milliseconds(1000);
 constexpr Micros LongestRecheck = std::chrono::milliseconds(4000);
 
+/// A request unanswered for longer, with no other answer of its upstream since
+/// it was sent, is one that the upstream sits on: work takes 310 ms at most.
+constexpr Micros StalledAfter = std::chrono::milliseconds(600);
+/// New flows go elsewhere for this long, doubled with each stall in a row up to
+/// this many times.
+constexpr Micros StallEjection = std::chrono::milliseconds(2000);
+constexpr std::uint32_t LongestStall = 8;
+
 Micros recheckPause(std::uint32_t Rechecks) {
   Micros Pause = FirstRecheck;
   for (; Rechecks > 0 && Pause < LongestRecheck; --Rechecks)
@@ -58,6 +66,34 @@
   }
 }
 
+void PacketBalancer::Impl::noteRequest(std::uint32_t Index) {
+  Detail &D = Details_[Index];
+  if (D.WaitingSince_ == MonoTime{})
+    D.WaitingSince_ = Now_;
+}
+
+void PacketBalancer::Impl::noteAnswer(std::uint32_t Index) {
+  Details_[Index].WaitingSince_ = MonoTime{};
+  Details_[Index].Stalls_ = 0;
+}
+
+/// A soft judgement: other upstreams take the new flows, nothing is reset.
+void PacketBalancer::Impl::noteStalls() {
+  for (std::uint32_t Index = 0; Index < Details_.size(); ++Index) {
+    Detail &D = Details_[Index];
+    bool Stalled =
+        D.WaitingSince_ != MonoTime{} && Now_ - D.WaitingSince_ > StalledAfter;
+    if (!Stalled)
+      continue;
+    D.WaitingSince_ = MonoTime{}; // the same request counts once
+    std::uint32_t Times = std::min(LongestStall, 1U << std::min(D.Stalls_, 8U));
+    ++D.Stalls_;
+    ++Counters_.Stalled_;
+    Upstreams_.eject(Index, Now_ + StallEjection * Times);
+    believe(Belief::Kind::Stalled, Index);
+  }
+}
+
 void PacketBalancer::Impl::setAlive(std::uint32_t Index) {
   if (Details_[Index].Ended_)
     return; // the other upstream at its address answered
@@ -116,9 +152,11 @@
 /// After a late wake; what has ended stays so.
 void PacketBalancer::Impl::forgetBeliefs() {
   Upstreams_.forgetBeliefs();
-  for (std::uint32_t Index = 0; Index < Details_.size(); ++Index)
+  for (std::uint32_t Index = 0; Index < Details_.size(); ++Index) {
+    Details_[Index].WaitingSince_ = MonoTime{};
     if (Details_[Index].Ended_)
       Upstreams_.setDead(Index, true);
+  }
 }
 
 void PacketBalancer::Impl::giveUpFlows(std::uint32_t Index) {
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -184,6 +184,7 @@
                 [this](const PacketFlowRow &Row) { countOut(Row); });
   expireUpstreams();
   recheckDead();
+  noteStalls();
 }
 
 void PacketBalancer::Impl::decide(Decision::Kind Kind, const Packet &P,
--- a/src/packet-log.cc
+++ b/src/packet-log.cc
@@ -36,6 +36,8 @@
     return "upstream_gone";
   case Belief::Kind::Ejected:
     return "upstream_ejected";
+  case Belief::Kind::Stalled:
+    return "upstream_stalled";
   case Belief::Kind::Checked:
     return "upstream_checked";
   case Belief::Kind::Dead:
--- a/src/packet-pages.cc
+++ b/src/packet-pages.cc
@@ -23,6 +23,7 @@
                                 {"resets", C.Resets_},
                                 {"upstream_checks", C.Checks_},
                                 {"upstreams_dead", C.Dead_},
+                                {"upstreams_stalled", C.Stalled_},
                                 {"late_wakes", C.LateWakes_},
                                 {"malformed", R.Malformed_},
                                 {"heartbeats_sent", R.News_.HeartbeatsSent_},
--- a/test/upstream-check-test.cc
+++ b/test/upstream-check-test.cc
@@ -71,6 +71,16 @@
     B_.steer(at(Time), P);
   }
 
+  void finish(std::chrono::milliseconds Time, std::uint16_t Port,
+              std::uint64_t Upstream, std::uint32_t Acknowledged) {
+    Packet P = packet(Port);
+    P.Acknowledges_ = true;
+    P.Finishes_ = true;
+    P.Cookie_ = static_cast<Cookie>(Upstream);
+    P.Acknowledged_ = Acknowledged;
+    B_.steer(at(Time), P);
+  }
+
   /// Opens a flow and sends a request on it, at 0 to 10 ms; gives its upstream.
   std::uint64_t request(std::uint16_t Port) {
     std::uint64_t Upstream = open(0ms, Port);
@@ -251,6 +261,59 @@
   CHECK(B.Resets_.size() == 2);
 }
 
+TEST_CASE("an upstream that takes requests and answers none gets no new flows "
+          "for a while") {
+  Balancer3 B;
+  std::uint64_t Up = B.request(1);
+  auto TakesFlows = [&](std::chrono::milliseconds Time) {
+    for (std::uint16_t Port = 1000; Port < 1100; ++Port)
+      if (B.open(Time, Port) == Up)
+        return true;
+    return false;
+  };
+  SUBCASE("once its first request waits for longer than any work takes") {
+    B.B_.tick(at(500ms));
+    CHECK(TakesFlows(510ms));
+    B.B_.tick(at(750ms));
+    CHECK_FALSE(TakesFlows(760ms));
+    CHECK(B.Resets_.empty());
+    CHECK(B.Checks_.empty());
+  }
+  SUBCASE("not if it has answered, by an acknowledgement") {
+    B.follow(60ms, 1, Up, 5000);
+    B.B_.tick(at(750ms));
+    CHECK(TakesFlows(760ms));
+  }
+  SUBCASE("or by the end of the flow") {
+    B.finish(60ms, 1, Up, 1600);
+    B.B_.tick(at(750ms));
+    CHECK(TakesFlows(760ms));
+  }
+  SUBCASE("nor if another of its flows was answered meanwhile") {
+    std::uint16_t Other = 2;
+    while (B.request(Other) != Up)
+      ++Other;
+    B.follow(400ms, Other, Up, 5000);
+    B.B_.tick(at(750ms));
+    CHECK(TakesFlows(760ms));
+  }
+  SUBCASE("for longer each time, and the same request counts once") {
+    B.B_.tick(at(750ms));
+    for (auto Now = 1000ms; Now < 3000ms; Now += 250ms)
+      B.B_.tick(at(Now));
+    CHECK(TakesFlows(3000ms));
+    B.follow(3010ms, 2, Up, 1000, 1, 100); // another request, unanswered too
+    for (auto Now = 3250ms; Now < 4000ms; Now += 250ms)
+      B.B_.tick(at(Now));
+    CHECK_FALSE(TakesFlows(6500ms));
+  }
+  SUBCASE("nor after a sleep of this process") {
+    B.B_.tick(at(250ms));
+    B.B_.tick(at(5s));
+    CHECK(TakesFlows(5s));
+  }
+}
+
 TEST_CASE("an upstream that lives keeps its flows") {
   SUBCASE("it accepts connections, however slow it is") {
     Balancer3 B;
