Balancers warn each other of upstreams that are dead or stalled

Cause: on the grown deployments a balancer sends one request to each upstream in about 11 s, so that nearly every request to a hung or dead upstream was the first that its balancer learned from. Ruled out: sharing beliefs as such (one balancer that is cut off would take upstreams from all); checks at the moment of a warning (90 connections at once could fill an upstream's queue of connections, and two of them lost count as proof). Change: a warning names an upstream and what is held against it; it goes through the fleet once a second at most, 128 different ones a second at most. Dead: each balancer checks by itself at its next tick. Stalled: no new flows, unless the upstream answered here within 600 ms. Tests first: news-test (3 cases), upstream-check-test (2 cases).

--- a/include/thymewall/news-message.h
+++ b/include/thymewall/news-message.h
@@ -1,11 +1,12 @@
 /// \file
-/// What packet balancers tell each other: heartbeats, and the published state
-/// to those that are behind. Encoded as CBOR.
+/// What packet balancers tell each other: heartbeats, the published state to
+/// those that are behind, and warnings of upstreams. Encoded as CBOR.
 #ifndef THYMEWALL_NEWS_MESSAGE_H
 #define THYMEWALL_NEWS_MESSAGE_H
 
 #include "thymewall/routing.h"
 #include "thymewall/upstream-list.h"
+#include "thymewall/upstream-warning.h"
 
 #include <variant>
 
@@ -58,7 +59,8 @@
   std::uint32_t KnownAgeMs_ = PeerHeartbeat::NeverKnown;
 };
 
-using NewsMessage = std::variant<PeerHeartbeat, NewsWanted, News>;
+using NewsMessage =
+    std::variant<PeerHeartbeat, NewsWanted, News, UpstreamWarning>;
 
 /// Largest message: 67,000 upstreams at about 60 bytes.
 constexpr std::size_t MaxNewsMessage = 8 << 20;
--- a/include/thymewall/news.h
+++ b/include/thymewall/news.h
@@ -32,6 +32,8 @@
       OnUpstreams_;
   /// Everything that was published up to \p AsOf is known.
   std::function<void(MonoTime AsOf)> OnConfirmed_;
+  /// A peer warns of an upstream.
+  std::function<void(const UpstreamWarning &)> OnWarning_;
 };
 
 struct NewsOptions {
@@ -45,6 +47,7 @@
   std::uint64_t NewsTaken_ = 0;
   std::uint64_t Gaps_ = 0;
   std::uint64_t StaleClaims_ = 0;
+  std::uint64_t WarningsSent_ = 0; ///< On all links.
   std::size_t Links_ = 0;
   std::size_t Members_ = 0;
 };
@@ -79,14 +82,18 @@
   static constexpr Micros PeersWithin = std::chrono::milliseconds(500);
   /// Older knowledge means that the configuration service was away.
   static constexpr Micros AwayAfter = std::chrono::milliseconds(2500);
-  /// A member not known to be alive for this long is forgotten.
-  static constexpr Micros ForgetAfter = std::chrono::seconds(20);
   /// A peer that could not be reached, or was lost, is not linked to again for
   /// this long; it links to others itself when it is back.
   static constexpr Micros AvoidFor = std::chrono::milliseconds(2000);
   /// An answer to a request for news must come by then; else another is asked.
   static constexpr Micros AnswerWithin = std::chrono::milliseconds(300);
 
+  /// A warning goes through the fleet once in this time.
+  static constexpr Micros WarnAgainAfter = std::chrono::milliseconds(1000);
+  /// Different warnings in that time; more are not told: 6 links of 16 bytes
+  /// and TCP's headers make 40 KB, once a data hall of upstreams is lost.
+  static constexpr std::size_t MaxWarnings = 128;
+
   NewsExchange(NewsOptions Options, NewsHooks Hooks);
   ~NewsExchange();
 
@@ -102,6 +109,8 @@
                 const UpstreamBatch &Upstreams, MonoTime AsOf);
   /// A call of the configuration service was not served: another may take over.
   void readFailed();
+  /// This balancer has evidence against an upstream: tells the fleet.
+  void warn(MonoTime Now, const UpstreamWarning &M);
   void setLeaving(MonoTime Now);
   void setSeeds(std::vector<Endpoint> Seeds);
   void tick(MonoTime Now);
--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -16,6 +16,7 @@
 #include "thymewall/routing.h"
 #include "thymewall/upstream-list.h"
 #include "thymewall/upstream-table.h"
+#include "thymewall/upstream-warning.h"
 
 #include <memory>
 #include <variant>
@@ -181,6 +182,10 @@
   /// The answer to a check that began at \p Began.
   void checked(MonoTime Now, Incarnation Upstream, CheckResult Result,
                MonoTime Began);
+  /// A peer has evidence against an upstream. A dead one is checked here too,
+  /// at the next tick; a stalled one gets no new flows for a while, unless it
+  /// has just answered here.
+  void warned(MonoTime Now, const UpstreamWarning &M);
   /// All that was published up to \p AsOf is known.
   void confirm(MonoTime AsOf);
   void tick(MonoTime Now);
--- /dev/null
+++ b/src/member-list.cc
@@ -0,0 +1,82 @@
+#include "member-list.h"
+
+#include <algorithm>
+
+namespace thymewall::detail {
+
+std::uint32_t ageMs(MonoTime At, MonoTime Now) {
+  auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(Now - At);
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(Age.count(), 0));
+}
+
+void MemberList::learn(MonoTime Now, const Member &Told) {
+  if (Told.Name_ == Self_)
+    return;
+  MonoTime AliveAt = Now - std::chrono::milliseconds(Told.AgeMs_);
+  if (Now - AliveAt > ForgetAfter)
+    return;
+  Row &Known = Known_[Told.Name_];
+  if (Known.AliveAt_ >= AliveAt)
+    return;
+  Known.Member_ = Told;
+  Known.AliveAt_ = AliveAt;
+}
+
+void MemberList::forgetSilent(MonoTime Now) {
+  for (auto Item = Known_.begin(); Item != Known_.end();) {
+    bool Silent = Now - Item->second.AliveAt_ > ForgetAfter;
+    Item = Silent ? Known_.erase(Item) : std::next(Item);
+  }
+}
+
+void MemberList::avoid(const std::string &Name, MonoTime Until) {
+  auto Item = Known_.find(Name);
+  if (Item != Known_.end())
+    Item->second.AvoidUntil_ = Until;
+}
+
+void MemberList::avoid(const Endpoint &Control, MonoTime Until) {
+  for (auto &[Name, Known] : Known_)
+    if (Known.Member_.Control_ == Control)
+      Known.AvoidUntil_ = Until;
+}
+
+std::size_t
+MemberList::countIf(const std::function<bool(const Member &)> &Wanted) const {
+  std::size_t Count = 0;
+  for (const auto &[Name, Known] : Known_)
+    if (Wanted(Known.Member_))
+      ++Count;
+  return Count;
+}
+
+std::vector<Member> MemberList::all() const {
+  std::vector<Member> Result;
+  for (const auto &[Name, Known] : Known_)
+    Result.push_back(Known.Member_);
+  return Result;
+}
+
+std::vector<Member> MemberList::reachable(MonoTime Now) const {
+  std::vector<Member> Result;
+  for (const auto &[Name, Known] : Known_)
+    if (Known.AvoidUntil_ <= Now)
+      Result.push_back(Known.Member_);
+  return Result;
+}
+
+std::vector<Member> MemberList::inTurn(MonoTime Now, std::size_t Count) {
+  std::vector<Member> Result;
+  auto Next = Known_.upper_bound(LastInTurn_);
+  for (std::size_t I = 0; I < std::min(Count, Known_.size()); ++I) {
+    if (Next == Known_.end())
+      Next = Known_.begin();
+    Result.push_back(Next->second.Member_);
+    Result.back().AgeMs_ = ageMs(Next->second.AliveAt_, Now);
+    LastInTurn_ = Next->first;
+    ++Next;
+  }
+  return Result;
+}
+
+} // namespace thymewall::detail
--- /dev/null
+++ b/src/member-list.h
@@ -0,0 +1,54 @@
+/// \file
+/// The other balancers of a fleet, as a balancer has heard of them.
+#ifndef THYMEWALL_SRC_MEMBER_LIST_H
+#define THYMEWALL_SRC_MEMBER_LIST_H
+
+#include "thymewall/news-message.h"
+
+#include <functional>
+#include <map>
+
+namespace thymewall::detail {
+
+/// Age of a moment, as messages carry it.
+std::uint32_t ageMs(MonoTime At, MonoTime Now);
+
+class MemberList {
+public:
+  /// A member not known to be alive for this long is forgotten.
+  static constexpr Micros ForgetAfter = std::chrono::seconds(20);
+
+  /// \p Self is never listed.
+  explicit MemberList(std::string Self) : Self_(std::move(Self)) {}
+
+  /// Takes in what a peer says of a member, unless more recent is known.
+  void learn(MonoTime Now, const Member &Told);
+  void remove(const std::string &Name) { Known_.erase(Name); }
+  void forgetSilent(MonoTime Now);
+  /// Not to be linked to before \p Until.
+  void avoid(const std::string &Name, MonoTime Until);
+  void avoid(const Endpoint &Control, MonoTime Until);
+
+  std::size_t size() const { return Known_.size(); }
+  std::size_t countIf(const std::function<bool(const Member &)> &Wanted) const;
+  std::vector<Member> all() const;
+  /// Those that are not avoided at \p Now.
+  std::vector<Member> reachable(MonoTime Now) const;
+  /// The next \p Count members, in turn, with their ages.
+  std::vector<Member> inTurn(MonoTime Now, std::size_t Count);
+
+private:
+  struct Row {
+    Member Member_;
+    MonoTime AliveAt_{};
+    MonoTime AvoidUntil_{};
+  };
+
+  std::string Self_;
+  std::map<std::string, Row> Known_;
+  std::string LastInTurn_;
+};
+
+} // namespace thymewall::detail
+
+#endif
--- a/src/news-message.cc
+++ b/src/news-message.cc
@@ -8,7 +8,7 @@
 
 using Json = nlohmann::json;
 
-enum class Type : std::uint8_t { Heartbeat = 1, Wanted, News };
+enum class Type : std::uint8_t { Heartbeat = 1, Wanted, News, Warning };
 
 std::int64_t millisLeft(MonoTime Until, MonoTime Now) {
   auto Left =
@@ -72,6 +72,10 @@
       M.Upstreams_.Through_, Changes, M.KnownAgeMs_,       Unchanged};
 }
 
+Json toJson(const UpstreamWarning &M, MonoTime) {
+  return Json::array({raw(Type::Warning), raw(M.Upstream_), raw(M.Kind_)});
+}
+
 Endpoint endpointFrom(const Json &Value) {
   Endpoint Where = parseEndpoint(Value.get_ref<const std::string &>());
   if (Where.empty())
@@ -162,6 +166,16 @@
   return M;
 }
 
+NewsMessage warningFrom(const Json &J) {
+  UpstreamWarning M;
+  M.Upstream_ = static_cast<Incarnation>(J.at(1).get<std::uint64_t>());
+  auto Kind = J.at(2).get<std::uint8_t>();
+  if (Kind > raw(UpstreamWarning::Kind::Stalled))
+    throw std::invalid_argument("unknown kind of warning");
+  M.Kind_ = static_cast<UpstreamWarning::Kind>(Kind);
+  return M;
+}
+
 NewsMessage messageFrom(const Json &J, MonoTime Now) {
   switch (static_cast<Type>(J.at(0).get<std::uint8_t>())) {
   case Type::Heartbeat:
@@ -170,6 +184,8 @@
     return NewsWanted{J.at(1).get<Version>(), J.at(2).get<Revision>()};
   case Type::News:
     return newsFrom(J, Now);
+  case Type::Warning:
+    return warningFrom(J);
   }
   throw std::invalid_argument("unknown type");
 }
--- a/src/news.cc
+++ b/src/news.cc
@@ -1,5 +1,6 @@
 #include "thymewall/news.h"
 
+#include "member-list.h"
 #include "peer-choice.h"
 
 #include <algorithm>
@@ -16,11 +17,6 @@
 /// Heartbeats whose time of sending is remembered for a link.
 constexpr std::size_t SentTimesKept = 16;
 
-std::uint32_t ageMs(MonoTime At, MonoTime Now) {
-  auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(Now - At);
-  return static_cast<std::uint32_t>(std::max<std::int64_t>(Age.count(), 0));
-}
-
 /// One connection to a peer.
 struct Link {
   struct Sent {
@@ -45,18 +41,13 @@
   }
 };
 
-struct KnownMember {
-  Member Member_;
-  MonoTime AliveAt_{};
-  MonoTime AvoidUntil_{}; ///< Not linked to before.
-};
-
 } // namespace
 
 class NewsExchange::Impl {
 public:
   Impl(NewsOptions Options, NewsHooks Hooks)
       : Options_(std::move(Options)), Hooks_(std::move(Hooks)),
+        Members_(Options_.Self_.Name_),
         Score_(detail::readScore(Options_.Self_.Name_)) {}
 
   void opened(MonoTime Now, LinkId Which, bool OpenedHere);
@@ -66,6 +57,7 @@
   bool readDone(MonoTime Now, const RoutingTablePtr &Routing,
                 const UpstreamBatch &Upstreams, MonoTime AsOf);
   void readFailed() { Reading_ = false; }
+  void warn(MonoTime Now, const UpstreamWarning &M) { tell(Now, M, nullptr); }
   void setLeaving(MonoTime Now);
   void setSeeds(std::vector<Endpoint> Seeds) {
     Options_.Seeds_ = std::move(Seeds);
@@ -84,12 +76,13 @@
   void take(MonoTime Now, LinkId Which, const PeerHeartbeat &M);
   void take(MonoTime Now, LinkId Which, const NewsWanted &M);
   void take(MonoTime Now, LinkId Which, const News &M);
+  void take(MonoTime Now, LinkId Which, const UpstreamWarning &M);
+  bool tell(MonoTime Now, const UpstreamWarning &M, const LinkId *From);
   bool apply(MonoTime Now, const RoutingTablePtr &Routing,
              const UpstreamBatch &Upstreams);
   void takeClaim(MonoTime Now, const Link &L, const PeerHeartbeat &M);
   void noteReader(std::uint64_t Score, MonoTime At, MonoTime Now);
   void confirm(MonoTime Now, MonoTime AsOf);
-  void learn(MonoTime Now, const Member &Told);
   void askIfBehind(MonoTime Now, LinkId Which, const PeerHeartbeat &M);
   void closeSpare(LinkId Which, const std::string &Peer);
   PeerHeartbeat heartbeat(MonoTime Now, std::size_t Members);
@@ -101,7 +94,7 @@
   bool linkedTo(const std::string &Name) const;
   std::uint32_t knownAgeMs(MonoTime Now) const {
     return KnownAsOf_ == MonoTime{} ? PeerHeartbeat::NeverKnown
-                                    : ageMs(KnownAsOf_, Now);
+                                    : detail::ageMs(KnownAsOf_, Now);
   }
   std::size_t readRank() const;
 
@@ -111,17 +104,17 @@
   RoutingTablePtr Routing_;
   UpstreamList List_;
   std::map<LinkId, Link> Links_;
-  std::map<std::string, KnownMember> Members_; ///< Without this balancer.
+  detail::MemberList Members_;
   std::set<Endpoint> Connecting_;
-  std::uint64_t Score_;      ///< Place in the order of readers.
+  std::map<UpstreamWarning, MonoTime> Told_; ///< Until when not told again.
+  std::uint64_t Score_;                      ///< Place in the order of readers.
   std::uint64_t Reader_ = 0; ///< Place of the first one that reads.
   MonoTime ReaderAt_{};      ///< Its last answer.
   MonoTime KnownAsOf_{};
   MonoTime ToldAsOf_{}; ///< `KnownAsOf_` when it was last told.
   MonoTime NextBeat_{};
   MonoTime AskAgainAt_{};
-  std::string NextMember_; ///< Where the next heartbeat's members begin.
-  bool Reading_ = false;   ///< Reads, and knows of no better one that does.
+  bool Reading_ = false; ///< Reads, and knows of no better one that does.
   bool EverLinked_ = false;
   bool Leaving_ = false;
 };
@@ -140,16 +133,13 @@
     return;
   std::string Peer = Known->second.Peer_;
   Links_.erase(Known);
-  auto Lost = Members_.find(Peer);
-  if (Lost != Members_.end() && !linkedTo(Peer))
-    Lost->second.AvoidUntil_ = Now + AvoidFor;
+  if (!linkedTo(Peer))
+    Members_.avoid(Peer, Now + AvoidFor);
 }
 
 void NewsExchange::Impl::connectFailed(MonoTime Now, const Endpoint &Control) {
   Connecting_.erase(Control);
-  for (auto &[Name, Known] : Members_)
-    if (Known.Member_.Control_ == Control)
-      Known.AvoidUntil_ = Now + AvoidFor;
+  Members_.avoid(Control, Now + AvoidFor);
 }
 
 void NewsExchange::Impl::received(MonoTime Now, LinkId Which,
@@ -170,11 +160,11 @@
   L.LastHeard_ = M.Sequence_;
   Connecting_.erase(M.Sender_.Control_);
   if (M.Leaving_)
-    Members_.erase(M.Sender_.Name_);
+    Members_.remove(M.Sender_.Name_);
   else
-    learn(Now, M.Sender_);
+    Members_.learn(Now, M.Sender_);
   for (const Member &Told : M.Members_)
-    learn(Now, Told);
+    Members_.learn(Now, Told);
   takeClaim(Now, L, M);
   askIfBehind(Now, Which, M);
   closeSpare(Which, M.Sender_.Name_);
@@ -217,19 +207,6 @@
     beatAll(Now);
 }
 
-void NewsExchange::Impl::learn(MonoTime Now, const Member &Told) {
-  if (Told.Name_ == Options_.Self_.Name_)
-    return;
-  MonoTime AliveAt = Now - std::chrono::milliseconds(Told.AgeMs_);
-  if (Now - AliveAt > ForgetAfter)
-    return;
-  KnownMember &Known = Members_[Told.Name_];
-  if (Known.AliveAt_ >= AliveAt)
-    return;
-  Known.Member_ = Told;
-  Known.AliveAt_ = AliveAt;
-}
-
 void NewsExchange::Impl::askIfBehind(MonoTime Now, LinkId Which,
                                      const PeerHeartbeat &M) {
   Version Ours = Routing_ ? Routing_->Version_ : 0;
@@ -265,6 +242,30 @@
   beatAll(Now);
 }
 
+void NewsExchange::Impl::take(MonoTime Now, LinkId Which,
+                              const UpstreamWarning &M) {
+  if (tell(Now, M, &Which))
+    Hooks_.OnWarning_(M);
+}
+
+/// Sends a warning on every link but the one it came from; false when it went
+/// through here a moment ago.
+bool NewsExchange::Impl::tell(MonoTime Now, const UpstreamWarning &M,
+                              const LinkId *From) {
+  auto Known = Told_.find(M);
+  bool Repeated = Known != Told_.end() && Now < Known->second;
+  if (Repeated || Told_.size() >= MaxWarnings)
+    return false;
+  Told_[M] = Now + WarnAgainAfter;
+  for (const auto &[Which, L] : Links_) {
+    if (From && *From == Which)
+      continue;
+    ++Counters_.WarningsSent_;
+    Hooks_.Send_(Which, M);
+  }
+  return true;
+}
+
 bool NewsExchange::Impl::apply(MonoTime Now, const RoutingTablePtr &Routing,
                                const UpstreamBatch &Upstreams) {
   if (Routing && (!Routing_ || Routing->Version_ > Routing_->Version_)) {
@@ -321,16 +322,8 @@
   M.KnownAgeMs_ = knownAgeMs(Now);
   M.Reader_ = Reader_;
   if (Now - ReaderAt_ < ReadAfter)
-    M.ReaderAgeMs_ = ageMs(ReaderAt_, Now);
-  auto Next = Members_.upper_bound(NextMember_);
-  for (std::size_t I = 0; I < std::min(Count, Members_.size()); ++I) {
-    if (Next == Members_.end())
-      Next = Members_.begin();
-    M.Members_.push_back(Next->second.Member_);
-    M.Members_.back().AgeMs_ = ageMs(Next->second.AliveAt_, Now);
-    NextMember_ = Next->first;
-    ++Next;
-  }
+    M.ReaderAgeMs_ = detail::ageMs(ReaderAt_, Now);
+  M.Members_ = Members_.inTurn(Now, Count);
   return M;
 }
 
@@ -362,10 +355,9 @@
     closed(Now, Which);
     Hooks_.Close_(Which);
   }
-  for (auto Item = Members_.begin(); Item != Members_.end();) {
-    bool Old = Now - Item->second.AliveAt_ > ForgetAfter;
-    Item = Old ? Members_.erase(Item) : std::next(Item);
-  }
+  Members_.forgetSilent(Now);
+  for (auto Item = Told_.begin(); Item != Told_.end();)
+    Item = Now >= Item->second ? Told_.erase(Item) : std::next(Item);
   if (Now >= NextBeat_)
     beatAll(Now);
   keepLinks(Now);
@@ -384,12 +376,8 @@
     for (const Endpoint &Seed : Options_.Seeds_)
       if (Seed != Options_.Self_.Control_)
         connect(Seed);
-  std::vector<Member> Reachable;
-  for (const auto &[Name, Known] : Members_)
-    if (Known.AvoidUntil_ <= Now)
-      Reachable.push_back(Known.Member_);
   std::vector<Member> Wanted =
-      detail::choosePeers(std::move(Reachable), Options_.Self_, OpenedLinks);
+      detail::choosePeers(Members_.reachable(Now), Options_.Self_, OpenedLinks);
   for (const Member &M : Wanted)
     if (!linkedTo(M.Name_))
       connect(M.Control_);
@@ -419,14 +407,12 @@
 }
 
 std::size_t NewsExchange::Impl::readRank() const {
-  return static_cast<std::size_t>(
-      std::count_if(Members_.begin(), Members_.end(), [&](const auto &Item) {
-        return detail::readScore(Item.first) < Score_;
-      }));
+  return Members_.countIf(
+      [&](const Member &M) { return detail::readScore(M.Name_) < Score_; });
 }
 
 MonoTime NewsExchange::Impl::readFrom() const {
-  if (Members_.empty() && !EverLinked_ && KnownAsOf_ != MonoTime{})
+  if (Members_.size() == 0 && !EverLinked_ && KnownAsOf_ != MonoTime{})
     return KnownAsOf_ + PeersWithin;
   std::size_t Rank = readRank();
   if (Rank == 0 || Reading_ || KnownAsOf_ == MonoTime{})
@@ -444,8 +430,8 @@
 
 std::vector<PeerStatus> NewsExchange::Impl::peers() const {
   std::vector<PeerStatus> Result;
-  for (const auto &[Name, Known] : Members_)
-    Result.push_back({Known.Member_, linkedTo(Name)});
+  for (const Member &M : Members_.all())
+    Result.push_back({M, linkedTo(M.Name_)});
   return Result;
 }
 
@@ -468,6 +454,9 @@
                             const UpstreamBatch &Upstreams, MonoTime AsOf) {
   return Impl_->readDone(Now, Routing, Upstreams, AsOf);
 }
+void NewsExchange::warn(MonoTime Now, const UpstreamWarning &M) {
+  Impl_->warn(Now, M);
+}
 void NewsExchange::readFailed() { Impl_->readFailed(); }
 void NewsExchange::setLeaving(MonoTime Now) { Impl_->setLeaving(Now); }
 void NewsExchange::setSeeds(std::vector<Endpoint> Seeds) {
--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -38,6 +38,7 @@
                       bool MayReturn);
   void checked(MonoTime Now, Incarnation Upstream, CheckResult Result,
                MonoTime Began);
+  void warned(MonoTime Now, const UpstreamWarning &M);
   void confirm(MonoTime AsOf) { KnownAsOf_ = std::max(KnownAsOf_, AsOf); }
   void tick(MonoTime Now);
   void setLimits(Micros ResetWhenKnown, Micros FlowLimit) {
@@ -60,7 +61,9 @@
     MonoTime ProgressAt_{};  ///< Last sign of life in any of its flows.
     /// The first request that was sent to it since its last answer; none: 0.
     MonoTime WaitingSince_{};
+    MonoTime AnswerAt_{};
     std::uint32_t Stalls_ = 0;   ///< In a row.
+    bool CheckWanted_ = false;   ///< At the next tick: a peer found it dead.
     MonoTime NextCheckAt_{};     ///< Not checked before, whatever is suspected.
     MonoTime RecheckAt_{};       ///< While it is dead.
     std::uint32_t Rechecks_ = 0; ///< Since it was found dead.
@@ -105,10 +108,12 @@
   void forget(std::uint32_t Index);
   void suspect(std::uint32_t Index);
   void check(std::uint32_t Index);
-  void recheckDead();
+  void checkDue();
   void noteRequest(std::uint32_t Index);
   void noteAnswer(std::uint32_t Index);
   void noteStalls();
+  void setStalled(std::uint32_t Index);
+  std::uint32_t indexOf(Incarnation Which) const;
   void setAlive(std::uint32_t Index);
   void setDead(std::uint32_t Index);
   void noteAddress(std::uint32_t Index);
--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -54,18 +54,34 @@
   Options_.OnCheck_({Upstreams_[Index].Incarnation_, Upstreams_[Index].At_});
 }
 
-/// Asks again for the dead that are still published.
-void PacketBalancer::Impl::recheckDead() {
+/// Checks those that peers found dead, and the dead that are still published.
+/// Ticks of different balancers spread over 250 ms, and so do their checks.
+void PacketBalancer::Impl::checkDue() {
   for (std::uint32_t Index = 0; Index < Details_.size(); ++Index) {
     Detail &D = Details_[Index];
-    bool Due = Upstreams_[Index].Dead_ && !D.Gone_ && D.RecheckAt_ <= Now_;
-    if (!Due)
-      continue;
-    D.RecheckAt_ = Now_ + recheckPause(++D.Rechecks_);
-    check(Index);
+    bool RecheckDue =
+        Upstreams_[Index].Dead_ && !D.Gone_ && D.RecheckAt_ <= Now_;
+    if (RecheckDue)
+      D.RecheckAt_ = Now_ + recheckPause(++D.Rechecks_);
+    if (RecheckDue || D.CheckWanted_)
+      check(Index);
+    D.CheckWanted_ = false;
   }
 }
 
+void PacketBalancer::Impl::warned(MonoTime Now, const UpstreamWarning &M) {
+  Now_ = Now;
+  std::uint32_t Index = indexOf(M.Upstream_);
+  if (Index == UpstreamTable::None || Details_[Index].Gone_ ||
+      Upstreams_[Index].Dead_)
+    return;
+  Detail &D = Details_[Index];
+  if (M.Kind_ == UpstreamWarning::Kind::Dead)
+    D.CheckWanted_ = true;
+  else if (Now - D.AnswerAt_ > StalledAfter)
+    setStalled(Index);
+}
+
 void PacketBalancer::Impl::noteRequest(std::uint32_t Index) {
   Detail &D = Details_[Index];
   if (D.WaitingSince_ == MonoTime{})
@@ -73,27 +89,32 @@
 }
 
 void PacketBalancer::Impl::noteAnswer(std::uint32_t Index) {
-  Details_[Index].WaitingSince_ = MonoTime{};
-  Details_[Index].Stalls_ = 0;
+  Detail &D = Details_[Index];
+  D.AnswerAt_ = Now_;
+  D.WaitingSince_ = MonoTime{};
+  D.Stalls_ = 0;
 }
 
-/// A soft judgement: other upstreams take the new flows, nothing is reset.
 void PacketBalancer::Impl::noteStalls() {
   for (std::uint32_t Index = 0; Index < Details_.size(); ++Index) {
-    Detail &D = Details_[Index];
-    bool Stalled =
-        D.WaitingSince_ != MonoTime{} && Now_ - D.WaitingSince_ > StalledAfter;
-    if (!Stalled)
-      continue;
-    D.WaitingSince_ = MonoTime{}; // the same request counts once
-    std::uint32_t Times = std::min(LongestStall, 1U << std::min(D.Stalls_, 8U));
-    ++D.Stalls_;
-    ++Counters_.Stalled_;
-    Upstreams_.eject(Index, Now_ + StallEjection * Times);
-    believe(Belief::Kind::Stalled, Index);
+    const Detail &D = Details_[Index];
+    bool Waits = D.WaitingSince_ != MonoTime{};
+    if (Waits && Now_ - D.WaitingSince_ > StalledAfter)
+      setStalled(Index);
   }
 }
 
+/// A soft judgement: other upstreams take the new flows, nothing is reset.
+void PacketBalancer::Impl::setStalled(std::uint32_t Index) {
+  Detail &D = Details_[Index];
+  D.WaitingSince_ = MonoTime{}; // the same request counts once
+  std::uint32_t Times = std::min(LongestStall, 1U << std::min(D.Stalls_, 8U));
+  ++D.Stalls_;
+  ++Counters_.Stalled_;
+  Upstreams_.eject(Index, Now_ + StallEjection * Times);
+  believe(Belief::Kind::Stalled, Index);
+}
+
 void PacketBalancer::Impl::setAlive(std::uint32_t Index) {
   if (Details_[Index].Ended_)
     return; // the other upstream at its address answered
@@ -115,11 +136,9 @@
 void PacketBalancer::Impl::checked(MonoTime Now, Incarnation Upstream,
                                    CheckResult Result, MonoTime Began) {
   Now_ = Now;
-  auto Known = IndexOfCookie_.find(cookieOf(Upstream));
-  if (Known == IndexOfCookie_.end() ||
-      Upstreams_[Known->second].Incarnation_ != Upstream)
+  std::uint32_t Index = indexOf(Upstream);
+  if (Index == UpstreamTable::None)
     return;
-  std::uint32_t Index = Known->second;
   // Whatever the check saw, progress of a flow since then is life.
   bool Progress = Details_[Index].ProgressAt_ >= Began;
   if (Result == CheckResult::Unclear)
@@ -224,6 +243,13 @@
     believe(Belief::Kind::Draining, Index);
 }
 
+std::uint32_t PacketBalancer::Impl::indexOf(Incarnation Which) const {
+  auto Known = IndexOfCookie_.find(cookieOf(Which));
+  bool Found = Known != IndexOfCookie_.end() &&
+               Upstreams_.rows()[Known->second].Incarnation_ == Which;
+  return Found ? Known->second : UpstreamTable::None;
+}
+
 void PacketBalancer::Impl::joinService(std::uint32_t Index, ServiceId Service) {
   Detail &D = Details_[Index];
   if (D.Member_ && D.Service_ == Service)
@@ -243,13 +269,10 @@
 }
 
 void PacketBalancer::Impl::end(const UpstreamChange &Change, bool MayReturn) {
-  auto Known = IndexOfCookie_.find(cookieOf(Change.Incarnation_));
-  if (Known == IndexOfCookie_.end())
+  std::uint32_t Index = indexOf(Change.Incarnation_);
+  if (Index == UpstreamTable::None || Details_[Index].Gone_)
     return;
-  std::uint32_t Index = Known->second;
   Detail &D = Details_[Index];
-  if (Upstreams_[Index].Incarnation_ != Change.Incarnation_ || D.Gone_)
-    return;
   D.Revision_ = Change.At_;
   if (!MayReturn)
     return setGone(Index);
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -183,7 +183,7 @@
   Flows_.expire(dueTick(Micros(0)),
                 [this](const PacketFlowRow &Row) { countOut(Row); });
   expireUpstreams();
-  recheckDead();
+  checkDue();
   noteStalls();
 }
 
@@ -229,6 +229,9 @@
                              CheckResult Result, MonoTime Began) {
   Impl_->checked(Now, Upstream, Result, Began);
 }
+void PacketBalancer::warned(MonoTime Now, const UpstreamWarning &M) {
+  Impl_->warned(Now, M);
+}
 void PacketBalancer::confirm(MonoTime AsOf) { Impl_->confirm(AsOf); }
 void PacketBalancer::tick(MonoTime Now) { Impl_->tick(Now); }
 void PacketBalancer::setLimits(Micros ResetWhenKnown, Micros FlowLimit) {
--- a/src/packet-pages.cc
+++ b/src/packet-pages.cc
@@ -30,6 +30,7 @@
                                 {"news_sent", R.News_.NewsSent_},
                                 {"news_taken", R.News_.NewsTaken_},
                                 {"news_gaps", R.News_.Gaps_},
+                                {"warnings_sent", R.News_.WarningsSent_},
                                 {"stale_claims", R.News_.StaleClaims_},
                                 {"peer_links", R.News_.Links_},
                                 {"peers", R.News_.Members_},
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -58,13 +58,14 @@
   return Class == DelayClass::Open ? "open" : "request";
 }
 
-PacketBalancer makeCore(const PacketSettings &S, PacketDelayHook OnDelay,
-                        CheckHook OnCheck, ResetHook OnReset) {
+PacketBalancer makeCore(const PacketSettings &S, BeliefHook OnBelief,
+                        PacketDelayHook OnDelay, CheckHook OnCheck,
+                        ResetHook OnReset) {
   return PacketBalancerBuilder()
       .resetWhenKnown(resetWhenKnown(S))
       .flowLimit(S.FlowLimit_)
       .onDecision(logDecisionOn)
-      .onBelief(logBelief)
+      .onBelief(std::move(OnBelief))
       .onDelay(std::move(OnDelay))
       .onCheck(std::move(OnCheck))
       .onReset(std::move(OnReset))
@@ -91,6 +92,7 @@
   NewsHooks newsHooks();
   void onPeerMessage(LinkId Link, const std::string &Bytes);
   void sendReset(const ResetFlow &R);
+  void onBelief(const Belief &B);
   void onAnswer(const IntentAnswer &Answer);
   void review();
   void endWhenQuiet(MonoTime Now);
@@ -146,7 +148,7 @@
                [this](const Endpoint &, const std::uint8_t *Data,
                       std::size_t Size) { onPacket(Data, Size); }),
       Core_(makeCore(
-          Settings_,
+          Settings_, [this](const Belief &B) { onBelief(B); },
           [this](ServiceId S, DelayClass C, Micros Delay) {
             Delays_.record(tenant(S), nameOf(C), Delay);
           },
@@ -230,6 +232,16 @@
   sendReset(R);
 }
 
+/// Tells peers what they would else learn at the cost of requests of their own.
+void PacketProcess::Impl::onBelief(const Belief &B) {
+  logBelief(B);
+  using Kind = UpstreamWarning::Kind;
+  if (B.Kind_ == Belief::Kind::Dead)
+    News_.warn(monoNow(), {B.Upstream_, Kind::Dead});
+  if (B.Kind_ == Belief::Kind::Stalled)
+    News_.warn(monoNow(), {B.Upstream_, Kind::Stalled});
+}
+
 void PacketProcess::Impl::sendReset(const ResetFlow &R) {
   if (R.Why_ == ErrorKind::UpstreamDead)
     logReset(R);
@@ -355,6 +367,9 @@
     if (ReadyTold_)
       releaseHeld();
   };
+  Hooks.OnWarning_ = [this](const UpstreamWarning &M) {
+    Core_.warned(monoNow(), M);
+  };
   Hooks.OnConfirmed_ = [this](MonoTime AsOf) { Core_.confirm(AsOf); };
   return Hooks;
 }
--- a/test/news-fleet.cc
+++ b/test/news-fleet.cc
@@ -148,6 +148,9 @@
                                      bool MayReturn) {
     Nodes_[Which].MayReturn_ = MayReturn;
   };
+  Hooks.OnWarning_ = [this, Which](const UpstreamWarning &M) {
+    Nodes_[Which].Warnings_.push_back(M);
+  };
   Hooks.OnConfirmed_ = [this, Which](MonoTime AsOf) { noteClaim(Which, AsOf); };
   return Hooks;
 }
--- a/test/news-fleet.h
+++ b/test/news-fleet.h
@@ -39,6 +39,11 @@
   std::size_t size() const { return Nodes_.size(); }
   std::size_t calls() const { return Calls_; }
   NewsExchange &news(std::size_t Which) { return *Nodes_[Which].News_; }
+  /// Warnings that a member had from peers.
+  const std::vector<UpstreamWarning> &warnings(std::size_t Which) const {
+    return Nodes_[Which].Warnings_;
+  }
+  MonoTime clock() const { return Now_; }
   Version routing(std::size_t Which) const { return Nodes_[Which].Routing_; }
   bool returning(std::size_t Which) const { return Nodes_[Which].MayReturn_; }
   /// The member that made the last call.
@@ -55,6 +60,7 @@
     std::unique_ptr<IntentReader> Reader_;
     std::map<LinkId, std::pair<std::size_t, LinkId>> Links_;
     std::vector<std::function<void()>> Held_; ///< While it is asleep.
+    std::vector<UpstreamWarning> Warnings_;
     Version Routing_ = 0;
     std::uint64_t Life_ = 0; ///< Counts restarts.
     bool Alive_ = true;
--- a/test/news-test.cc
+++ b/test/news-test.cc
@@ -175,6 +175,46 @@
   });
 }
 
+TEST_CASE("a warning of an upstream reaches every member once") {
+  for (std::size_t Size : {std::size_t{8}, std::size_t{90}}) {
+    NewsFleet Fleet(Size);
+    Fleet.run(5s);
+    UpstreamWarning Dead{Incarnation{7}, UpstreamWarning::Kind::Dead};
+    Fleet.news(3).warn(Fleet.clock(), Dead);
+    Fleet.news(3).warn(Fleet.clock(), Dead); // told already
+    Fleet.run(5s + 100ms);
+    CHECK(Fleet.warnings(3).empty());
+    for (std::size_t I = 0; I < Size; ++I)
+      if (I != 3)
+        CHECK(Fleet.warnings(I) == std::vector<UpstreamWarning>{Dead});
+    Fleet.run(7s);
+    Fleet.news(5).warn(Fleet.clock(), Dead); // a second later it is news again
+    Fleet.run(8s);
+    CHECK(Fleet.warnings(3).size() == 1);
+  }
+}
+
+TEST_CASE("warnings in a moment are bounded") {
+  NewsFleet Fleet(8);
+  Fleet.run(5s);
+  for (std::uint64_t I = 1; I <= 2 * NewsExchange::MaxWarnings; ++I)
+    Fleet.news(0).warn(Fleet.clock(),
+                       {Incarnation{I}, UpstreamWarning::Kind::Stalled});
+  Fleet.run(5s + 100ms);
+  CHECK(Fleet.warnings(1).size() == NewsExchange::MaxWarnings);
+}
+
+TEST_CASE("a warning survives its codec, and one of an unknown kind does not") {
+  UpstreamWarning Stalled{Incarnation{~std::uint64_t{0}},
+                          UpstreamWarning::Kind::Stalled};
+  NewsMessage Out;
+  std::string Bytes = encodeNews(Stalled, MonoTime{});
+  REQUIRE(decodeNews(Bytes, MonoTime{}, Out) == ErrorKind::None);
+  CHECK(std::get<UpstreamWarning>(Out) == Stalled);
+  Bytes.back() = 2;
+  CHECK(decodeNews(Bytes, MonoTime{}, Out) == ErrorKind::Malformed);
+}
+
 TEST_CASE("messages between balancers survive their codec") {
   MonoTime Now(20s);
   auto Table = std::make_shared<RoutingTable>();
--- a/test/upstream-check-test.cc
+++ b/test/upstream-check-test.cc
@@ -314,6 +314,47 @@
   }
 }
 
+TEST_CASE("a peer's warning of a dead upstream asks for a check of our own") {
+  Balancer3 B;
+  std::uint64_t Up = B.request(1);
+  B.B_.warned(at(100ms), {Incarnation{Up}, UpstreamWarning::Kind::Dead});
+  CHECK(B.Checks_.empty()); // spread over the ticks of the fleet
+  B.B_.tick(at(250ms));
+  CHECK(B.Checks_ == std::vector<std::uint64_t>{Up});
+  B.B_.tick(at(1500ms));
+  CHECK(B.Checks_.size() == 1);
+  CHECK(B.Resets_.empty()); // a warning alone proves nothing
+  // Of one that is gone, or that nobody knows: nothing.
+  B.B_.applyUpstreams(at(1600ms), {{Incarnation{Up}, 2, std::nullopt}});
+  B.B_.warned(at(1700ms), {Incarnation{Up}, UpstreamWarning::Kind::Dead});
+  B.B_.warned(at(1700ms), {Incarnation{99}, UpstreamWarning::Kind::Dead});
+  B.B_.tick(at(2750ms));
+  CHECK(B.Checks_.size() == 1);
+}
+
+TEST_CASE("a peer's warning of a stalled upstream keeps new flows away") {
+  Balancer3 B;
+  std::uint64_t Up = B.request(1);
+  auto TakesFlows = [&](std::chrono::milliseconds Time) {
+    for (std::uint16_t Port = 1000; Port < 1100; ++Port)
+      if (B.open(Time, Port) == Up)
+        return true;
+    return false;
+  };
+  UpstreamWarning Stalled{Incarnation{Up}, UpstreamWarning::Kind::Stalled};
+  SUBCASE("for a while") {
+    B.B_.warned(at(1000ms), Stalled);
+    CHECK_FALSE(TakesFlows(2900ms));
+    CHECK(TakesFlows(3100ms));
+  }
+  SUBCASE("not if it has just answered here") {
+    B.follow(900ms, 1, Up, 5000);
+    B.B_.warned(at(1000ms), Stalled);
+    CHECK(TakesFlows(1010ms));
+  }
+  CHECK(B.Resets_.empty());
+}
+
 TEST_CASE("an upstream that lives keeps its flows") {
   SUBCASE("it accepts connections, however slow it is") {
     Balancer3 B;
