One stall counts once, however many balancers report it

Cause: found on reading the change. Warnings of one stall come from several balancers within seconds, and each doubled the time without new flows: 2 s became 16 s. For an upstream that lives (its flows' later packets went to other balancers after a restart of many) that would take capacity away from the whole fleet when it is short. Ruled out: taking warnings from two balancers only (a small fleet would lose them). Change: while the upstream gets no new flows anyway, a stall is neither counted nor told. Tests first: upstream-check-test, "however many peers see the same stall" (failed), "longer when it stalls again after that".

--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -108,6 +108,8 @@
 void PacketBalancer::Impl::setStalled(std::uint32_t Index) {
   Detail &D = Details_[Index];
   D.WaitingSince_ = MonoTime{}; // the same request counts once
+  if (Upstreams_[Index].EjectedUntil_ > Now_)
+    return; // others see what led to this ejection only now
   std::uint32_t Times = std::min(LongestStall, 1U << std::min(D.Stalls_, 8U));
   ++D.Stalls_;
   ++Counters_.Stalled_;
--- a/test/upstream-check-test.cc
+++ b/test/upstream-check-test.cc
@@ -347,6 +347,17 @@
     CHECK_FALSE(TakesFlows(2900ms));
     CHECK(TakesFlows(3100ms));
   }
+  SUBCASE("however many peers see the same stall") {
+    for (auto Now = 1000ms; Now < 2900ms; Now += 100ms)
+      B.B_.warned(at(Now), Stalled);
+    CHECK(TakesFlows(3100ms));
+  }
+  SUBCASE("longer when it stalls again after that") {
+    B.B_.warned(at(1000ms), Stalled);
+    B.B_.warned(at(3100ms), Stalled);
+    CHECK_FALSE(TakesFlows(7000ms));
+    CHECK(TakesFlows(7200ms));
+  }
   SUBCASE("not if it has just answered here") {
     B.follow(900ms, 1, Up, 5000);
     B.B_.warned(at(1000ms), Stalled);
