The test of checks asks in one place whether an upstream takes flows

Found on reading the change: the same loop stood in three cases. The assertions are the same; 12 cases pass. No product code changed; no measurement.

--- a/test/upstream-check-test.cc
+++ b/test/upstream-check-test.cc
@@ -89,6 +89,14 @@
     return Upstream;
   }
 
+  /// Some of 100 new flows go to the upstream.
+  bool takesFlows(std::uint64_t Upstream, std::chrono::milliseconds Time) {
+    for (std::uint16_t Port = 1000; Port < 1100; ++Port)
+      if (open(Time, Port) == Upstream)
+        return true;
+    return false;
+  }
+
   void checked(std::chrono::milliseconds Time, std::uint64_t Upstream,
                CheckResult Result, std::chrono::milliseconds Began) {
     B_.checked(at(Time), Incarnation{Upstream}, Result, at(Began));
@@ -151,12 +159,6 @@
 TEST_CASE("a dead upstream takes no new flow until a check reaches it again") {
   Balancer3 B;
   std::uint64_t Dead = B.request(1);
-  auto TakesFlows = [&](std::chrono::milliseconds Time) {
-    for (std::uint16_t Port = 1000; Port < 1100; ++Port)
-      if (B.open(Time, Port) == Dead)
-        return true;
-    return false;
-  };
   B.checked(370ms, Dead, CheckResult::Dead, 210ms);
   // Checked again by itself, less and less often.
   std::vector<std::chrono::milliseconds> Asked;
@@ -169,14 +171,14 @@
       Asked.push_back(Now);
       B.checked(Now + 160ms, Dead, CheckResult::Dead, Now);
     }
-    CHECK_FALSE(TakesFlows(Now + 200ms));
+    CHECK_FALSE(B.takesFlows(Dead, Now + 200ms));
   }
   REQUIRE(Asked.size() >= 4);
   CHECK(Asked.size() <= 8);
   CHECK(Asked[0] <= 1750ms);
   SUBCASE("a check reaches it") {
     B.checked(Now, Dead, CheckResult::Connected, Now - 2ms);
-    CHECK(TakesFlows(Now));
+    CHECK(B.takesFlows(Dead, Now));
     B.Checks_.clear();
     for (auto Later = Now; Later < Now + 10s; Later += 250ms)
       B.B_.tick(at(Later));
@@ -184,11 +186,11 @@
   }
   SUBCASE("a disturbed check proves nothing") {
     B.checked(Now, Dead, CheckResult::Unclear, Now - 160ms);
-    CHECK_FALSE(TakesFlows(Now));
+    CHECK_FALSE(B.takesFlows(Dead, Now));
   }
   SUBCASE("the process slept: nothing is believed any more") {
     B.B_.tick(at(Now + 5s));
-    CHECK(TakesFlows(Now + 5s));
+    CHECK(B.takesFlows(Dead, Now + 5s));
   }
 }
 
@@ -265,29 +267,23 @@
           "for a while") {
   Balancer3 B;
   std::uint64_t Up = B.request(1);
-  auto TakesFlows = [&](std::chrono::milliseconds Time) {
-    for (std::uint16_t Port = 1000; Port < 1100; ++Port)
-      if (B.open(Time, Port) == Up)
-        return true;
-    return false;
-  };
   SUBCASE("once its first request waits for longer than any work takes") {
     B.B_.tick(at(500ms));
-    CHECK(TakesFlows(510ms));
+    CHECK(B.takesFlows(Up, 510ms));
     B.B_.tick(at(750ms));
-    CHECK_FALSE(TakesFlows(760ms));
+    CHECK_FALSE(B.takesFlows(Up, 760ms));
     CHECK(B.Resets_.empty());
     CHECK(B.Checks_.empty());
   }
   SUBCASE("not if it has answered, by an acknowledgement") {
     B.follow(60ms, 1, Up, 5000);
     B.B_.tick(at(750ms));
-    CHECK(TakesFlows(760ms));
+    CHECK(B.takesFlows(Up, 760ms));
   }
   SUBCASE("or by the end of the flow") {
     B.finish(60ms, 1, Up, 1600);
     B.B_.tick(at(750ms));
-    CHECK(TakesFlows(760ms));
+    CHECK(B.takesFlows(Up, 760ms));
   }
   SUBCASE("nor if another of its flows was answered meanwhile") {
     std::uint16_t Other = 2;
@@ -295,22 +291,22 @@
       ++Other;
     B.follow(400ms, Other, Up, 5000);
     B.B_.tick(at(750ms));
-    CHECK(TakesFlows(760ms));
+    CHECK(B.takesFlows(Up, 760ms));
   }
   SUBCASE("for longer each time, and the same request counts once") {
     B.B_.tick(at(750ms));
     for (auto Now = 1000ms; Now < 3000ms; Now += 250ms)
       B.B_.tick(at(Now));
-    CHECK(TakesFlows(3000ms));
+    CHECK(B.takesFlows(Up, 3000ms));
     B.follow(3010ms, 2, Up, 1000, 1, 100); // another request, unanswered too
     for (auto Now = 3250ms; Now < 4000ms; Now += 250ms)
       B.B_.tick(at(Now));
-    CHECK_FALSE(TakesFlows(6500ms));
+    CHECK_FALSE(B.takesFlows(Up, 6500ms));
   }
   SUBCASE("nor after a sleep of this process") {
     B.B_.tick(at(250ms));
     B.B_.tick(at(5s));
-    CHECK(TakesFlows(5s));
+    CHECK(B.takesFlows(Up, 5s));
   }
 }
 
@@ -335,33 +331,27 @@
 TEST_CASE("a peer's warning of a stalled upstream keeps new flows away") {
   Balancer3 B;
   std::uint64_t Up = B.request(1);
-  auto TakesFlows = [&](std::chrono::milliseconds Time) {
-    for (std::uint16_t Port = 1000; Port < 1100; ++Port)
-      if (B.open(Time, Port) == Up)
-        return true;
-    return false;
-  };
   UpstreamWarning Stalled{Incarnation{Up}, UpstreamWarning::Kind::Stalled};
   SUBCASE("for a while") {
     B.B_.warned(at(1000ms), Stalled);
-    CHECK_FALSE(TakesFlows(2900ms));
-    CHECK(TakesFlows(3100ms));
+    CHECK_FALSE(B.takesFlows(Up, 2900ms));
+    CHECK(B.takesFlows(Up, 3100ms));
   }
   SUBCASE("however many peers see the same stall") {
     for (auto Now = 1000ms; Now < 2900ms; Now += 100ms)
       B.B_.warned(at(Now), Stalled);
-    CHECK(TakesFlows(3100ms));
+    CHECK(B.takesFlows(Up, 3100ms));
   }
   SUBCASE("longer when it stalls again after that") {
     B.B_.warned(at(1000ms), Stalled);
     B.B_.warned(at(3100ms), Stalled);
-    CHECK_FALSE(TakesFlows(7000ms));
-    CHECK(TakesFlows(7200ms));
+    CHECK_FALSE(B.takesFlows(Up, 7000ms));
+    CHECK(B.takesFlows(Up, 7200ms));
   }
   SUBCASE("not if it has just answered here") {
     B.follow(900ms, 1, Up, 5000);
     B.B_.warned(at(1000ms), Stalled);
-    CHECK(TakesFlows(1010ms));
+    CHECK(B.takesFlows(Up, 1010ms));
   }
   CHECK(B.Resets_.empty());
 }
