The living of a data hall that is mostly dead leave callers to other halls

Ruled out: judging by gossip in large fleets, where a member is heard of only every few seconds (never judged above 18 members). Change: a balancer that knows from heartbeats younger than 1.3 s that most of its hall is dead and another hall is well says that it is not ready, and forwards on.

--- a/include/thymewall/news.h
+++ b/include/thymewall/news.h
@@ -122,6 +122,12 @@
   MonoTime knownAsOf() const;
   /// Balancers that share the reading, at least 1 (this one).
   std::size_t fleetSize() const;
+  /// Most of this balancer's data hall is dead, and another data hall is well.
+  /// The fabric goes on using every host of a data hall in which fewer than
+  /// half answer, dead ones too, but none of a hall in which nobody does: the
+  /// living then serve callers best by answering that they are not ready.
+  /// Always false where members are too many for each to hear of all in time.
+  bool hallIsLost(MonoTime Now) const;
   NewsCounters counters() const;
   std::vector<PeerStatus> peers() const;
 
--- a/src/member-list.cc
+++ b/src/member-list.cc
@@ -50,6 +50,24 @@
   return Count;
 }
 
+bool MemberList::hallIsLost(MonoTime Now, const std::string &Hall) const {
+  if (Known_.size() > HeardOf)
+    return false;
+  std::map<std::string, HallCount> Halls;
+  Halls[Hall] = {1, 1};
+  for (const auto &[Name, Known] : Known_) {
+    HallCount &Count = Halls[Known.Member_.DataHall_];
+    ++Count.Known_;
+    if (Now - Known.AliveAt_ <= LivesWithin)
+      ++Count.Living_;
+  }
+  auto Well = [&](const auto &Item) {
+    return Item.first != Hall && !Item.second.mostlyDead();
+  };
+  return Halls[Hall].mostlyDead() &&
+         std::any_of(Halls.begin(), Halls.end(), Well);
+}
+
 std::vector<Member> MemberList::all() const {
   std::vector<Member> Result;
   for (const auto &[Name, Known] : Known_)
--- a/src/member-list.h
+++ b/src/member-list.h
@@ -17,6 +17,11 @@
 public:
   /// A member not known to be alive for this long is forgotten.
   static constexpr Micros ForgetAfter = std::chrono::seconds(20);
+  /// Heartbeats come at least once a second; a quarter more for a slow host.
+  static constexpr Micros LivesWithin = std::chrono::milliseconds(1300);
+  /// Members that each balancer hears of within a heartbeat's time: 3 on each
+  /// of 6 links. In a larger fleet silence of one says nothing.
+  static constexpr std::size_t HeardOf = 18;
 
   /// \p Self is never listed.
   explicit MemberList(std::string Self) : Self_(std::move(Self)) {}
@@ -29,6 +34,10 @@
   void avoid(const std::string &Name, MonoTime Until);
   void avoid(const Endpoint &Control, MonoTime Until);
 
+  /// Fewer than half of the members of \p Hall live, \p Self, which is one of
+  /// them, among the living; and another data hall is well.
+  bool hallIsLost(MonoTime Now, const std::string &Hall) const;
+
   std::size_t size() const { return Known_.size(); }
   std::size_t countIf(const std::function<bool(const Member &)> &Wanted) const;
   std::vector<Member> all() const;
@@ -38,6 +47,13 @@
   std::vector<Member> inTurn(MonoTime Now, std::size_t Count);
 
 private:
+  /// How many of a data hall are known, and how many of these live.
+  struct HallCount {
+    std::size_t Known_ = 0;
+    std::size_t Living_ = 0;
+    bool mostlyDead() const { return 2 * Living_ < Known_; }
+  };
+
   struct Row {
     Member Member_;
     MonoTime AliveAt_{};
--- a/src/news.cc
+++ b/src/news.cc
@@ -73,6 +73,9 @@
   std::size_t fleetSize() const {
     return Links_.empty() ? 1 : Members_.size() + 1;
   }
+  bool hallIsLost(MonoTime Now) const {
+    return Members_.hallIsLost(Now, Options_.Self_.DataHall_);
+  }
   NewsCounters counters() const;
   std::vector<PeerStatus> peers() const;
 
@@ -479,6 +482,9 @@
 Revision NewsExchange::through() const { return Impl_->through(); }
 MonoTime NewsExchange::knownAsOf() const { return Impl_->knownAsOf(); }
 std::size_t NewsExchange::fleetSize() const { return Impl_->fleetSize(); }
+bool NewsExchange::hallIsLost(MonoTime Now) const {
+  return Impl_->hallIsLost(Now);
+}
 NewsCounters NewsExchange::counters() const { return Impl_->counters(); }
 std::vector<PeerStatus> NewsExchange::peers() const { return Impl_->peers(); }
 
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -101,7 +101,10 @@
   void serveMetrics();
   PacketReport report();
   std::string tenant(ServiceId Id) const;
-  bool ready() const { return Core_.ready() && StopBy_ == MonoTime::max(); }
+  bool ready() const {
+    return Core_.ready() && StopBy_ == MonoTime::max() && !HallLost_;
+  }
+  void noteHall(MonoTime Now);
   void awaitSignal();
   void onReloadSignal();
   void startStop();
@@ -135,6 +138,7 @@
   std::uint64_t ServiceCalls_ = 0;
   std::uint64_t ServiceFailures_ = 0;
   bool ReadyTold_ = false;
+  bool HallLost_ = false; ///< Other data halls serve callers better.
   MonoTime StopFrom_ = MonoTime::max(); ///< Earliest end after a stop signal.
   MonoTime StopBy_ = MonoTime::max();
 };
@@ -260,6 +264,7 @@
   if (Now >= NextTick_) {
     Core_.tick(Now);
     News_.tick(Now);
+    noteHall(Now);
     endWhenQuiet(Now);
     lookAtSettings(Now);
     flushLog();
@@ -286,6 +291,14 @@
   releaseHeld();
 }
 
+void PacketProcess::Impl::noteHall(MonoTime Now) {
+  if (News_.hallIsLost(Now) == HallLost_)
+    return;
+  HallLost_ = !HallLost_;
+  logState(HallLost_ ? "data_hall_lost" : "data_hall_back",
+           {{"data_hall", Settings_.DataHall_}});
+}
+
 /// After a stop signal: forwards until the fabric sends nothing any more.
 void PacketProcess::Impl::endWhenQuiet(MonoTime Now) {
   bool Quiet = Now >= StopFrom_ && Now - LastPacket_ >= QuietFor;
--- a/test/news-test.cc
+++ b/test/news-test.cc
@@ -262,3 +262,57 @@
     RC_ASSERT(Kind == ErrorKind::None || Kind == ErrorKind::Malformed);
   });
 }
+
+TEST_CASE("the living of a data hall that is mostly dead know it, and no one "
+          "else thinks so") {
+  NewsFleet Fleet(9); // halls 0, 1, 2: members 0 3 6, 1 4 7, 2 5 8
+  auto Lost = [&] {
+    std::vector<std::size_t> Who;
+    for (std::size_t I = 0; I < Fleet.size(); ++I)
+      if (Fleet.news(I).hallIsLost(Fleet.clock()))
+        Who.push_back(I);
+    return Who;
+  };
+  using Who = std::vector<std::size_t>;
+  for (Micros Time = 0s; Time < 6s; Time += 50ms) {
+    Fleet.run(Time);
+    REQUIRE(Lost().empty());
+  }
+  Fleet.kill(0);
+  Fleet.run(9s);
+  CHECK(Lost().empty()); // two of three live
+  Fleet.kill(3);
+  Fleet.run(11s);
+  CHECK(Lost() == Who{6});
+  Fleet.restart(3);
+  Fleet.run(12s);
+  CHECK(Lost().empty());
+}
+
+TEST_CASE("without a data hall that is well nobody leaves callers to others") {
+  auto Nobody = [](NewsFleet &Fleet, Micros Until) {
+    for (Micros Time = 6s; Time < Until; Time += 50ms) {
+      Fleet.run(Time);
+      for (std::size_t I = 0; I < Fleet.size(); ++I)
+        if (Fleet.news(I).hallIsLost(Fleet.clock()))
+          return false;
+    }
+    return true;
+  };
+  NewsFleet Killed(9);
+  Killed.run(6s);
+  for (std::size_t I = 0; I < 6; ++I) // one in each hall is left
+    Killed.kill(I);
+  CHECK(Nobody(Killed, 12s));
+  NewsFleet CutOff(9);
+  CutOff.run(6s);
+  for (std::size_t I = 1; I < 9; ++I)
+    CutOff.setHeldUp(0, I, true);
+  CHECK(Nobody(CutOff, 12s));
+  // Too many for silence to mean anything, whatever becomes of them.
+  NewsFleet Large(30);
+  Large.run(6s);
+  for (std::size_t I = 0; I < 24; ++I)
+    Large.kill(I);
+  CHECK(Nobody(Large, 12s));
+}
