The log says of the configuration service only what is known; silent connections tested

Cause: after connections had gone silent eight balancers logged configuration_service_lost and, 11 s later, ..._back after_ms 10869, though the service was away for none of it: another balancer read for them, so they made no call whose answer could say more. Ruled out: calling once more to find out (a priced call that nobody needs). Change: configuration_service_call_failed, ended by configuration_service_answers or by configuration_service_read_by_peer.

--- a/src/packet-log.cc
+++ b/src/packet-log.cc
@@ -1,7 +1,5 @@
 #include "packet-log.h"
 
-#include "thymewall/log.h"
-
 #include <cstdio>
 
 namespace thymewall::detail {
@@ -110,18 +108,27 @@
 void ServiceLog::answered(MonoTime Now, const IntentAnswer &Answer) {
   bool Served = Answer.Outcome_ == IntentAnswer::Outcome::Done ||
                 Answer.Outcome_ == IntentAnswer::Outcome::HistoryGone;
-  if (!Served && !Lost_)
-    logState(
-        "configuration_service_lost",
-        {{"outcome", nameOf(Answer.Outcome_)}, {"reason", Answer.Reason_}});
-  if (!Served && !Lost_)
-    LostAt_ = Now;
-  if (Served && Lost_)
-    logState("configuration_service_back",
-             {{"after_ms", millis(Now - LostAt_)}});
   if (Answer.Outcome_ == IntentAnswer::Outcome::HistoryGone)
     logDecision("history_gone", {});
-  Lost_ = !Served;
+  if (Served == !failing())
+    return;
+  if (Served) {
+    Write_("configuration_service_answers",
+           {{"after_ms", millis(Now - FailedAt_)}});
+    FailedAt_ = MonoTime{};
+    return;
+  }
+  Write_("configuration_service_call_failed",
+         {{"outcome", nameOf(Answer.Outcome_)}, {"reason", Answer.Reason_}});
+  FailedAt_ = Now;
+}
+
+void ServiceLog::confirmed(MonoTime AsOf) {
+  if (!failing() || AsOf <= FailedAt_)
+    return;
+  Write_("configuration_service_read_by_peer",
+         {{"after_ms", millis(AsOf - FailedAt_)}});
+  FailedAt_ = MonoTime{};
 }
 
 } // namespace thymewall::detail
--- a/src/packet-log.h
+++ b/src/packet-log.h
@@ -4,6 +4,7 @@
 #define THYMEWALL_SRC_PACKET_LOG_H
 
 #include "thymewall/intent-reader.h"
+#include "thymewall/log.h"
 #include "thymewall/packet-balancer.h"
 
 namespace thymewall::detail {
@@ -16,14 +17,24 @@
 void logReset(const ResetFlow &R);
 void logRouting(const RoutingTable &Table);
 
-/// Tells when the configuration service is lost and when it is back, once each.
+/// Tells what this process knows of the configuration service: that calls to it
+/// have begun to fail, and then either that one was served again or that a peer
+/// reads it, so that this process no longer calls.
 class ServiceLog {
 public:
+  using Writer = std::function<void(std::string_view, const LogFields &)>;
+
+  explicit ServiceLog(Writer Write = logState) : Write_(std::move(Write)) {}
+
   void answered(MonoTime Now, const IntentAnswer &Answer);
+  /// All that was published up to \p AsOf is known, whoever read it.
+  void confirmed(MonoTime AsOf);
 
 private:
-  MonoTime LostAt_{};
-  bool Lost_ = false;
+  bool failing() const { return FailedAt_ != MonoTime{}; }
+
+  Writer Write_;
+  MonoTime FailedAt_{}; ///< Of the first failure since a success; none: 0.
 };
 
 } // namespace thymewall::detail
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -383,7 +383,10 @@
   Hooks.OnWarning_ = [this](const UpstreamWarning &M) {
     Core_.warned(monoNow(), M);
   };
-  Hooks.OnConfirmed_ = [this](MonoTime AsOf) { Core_.confirm(AsOf); };
+  Hooks.OnConfirmed_ = [this](MonoTime AsOf) {
+    Core_.confirm(AsOf);
+    ServiceLog_.confirmed(AsOf);
+  };
   return Hooks;
 }
 
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -184,6 +184,19 @@
   CHECK(calls(Context, Server.at(), 2) == Strings{"failed", "200 next"});
 }
 
+TEST_CASE(
+    "a connection that goes silent between two calls, or before the first "
+    "answer, is left for a new one") {
+  // As between two pages of a list: each call has a deadline of its own.
+  asio::io_context Context;
+  std::string Silent = ok("");
+  Silent.resize(10);
+  ScriptedServer Server(Context, {ok("page 1"), Silent, ok("page 1"), ok("2")});
+  CHECK(calls(Context, Server.at(), 4) ==
+        Strings{"200 page 1", "failed", "200 page 1", "200 2"});
+  CHECK(Server.connections() == 2);
+}
+
 TEST_CASE("calls share a connection as long as it holds") {
   asio::io_context Context;
   ScriptedServer Server(Context, {ok("a"), ok("b"), ok("c")});
--- a/test/log-test.cc
+++ b/test/log-test.cc
@@ -1,5 +1,7 @@
 #include "thymewall/log.h"
 
+#include "packet-log.h"
+
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
@@ -38,3 +40,35 @@
   CHECK(Allowed >= 10 * LogBudget::LinesPerSecond - 1);
   CHECK(Allowed <= 10 * LogBudget::LinesPerSecond);
 }
+
+TEST_CASE("the log says of the configuration service only what is known") {
+  std::vector<std::string> Events;
+  detail::ServiceLog Log([&](std::string_view Event, const LogFields &) {
+    Events.emplace_back(Event);
+  });
+  auto Answered = [&](std::chrono::seconds When, IntentAnswer::Outcome What) {
+    IntentAnswer A;
+    A.Outcome_ = What;
+    Log.answered(MonoTime(When), A);
+  };
+  using Outcome = IntentAnswer::Outcome;
+  using Lines = std::vector<std::string>;
+  Answered(1s, Outcome::Done);
+  Log.confirmed(MonoTime(1s));
+  CHECK(Events.empty());
+  Answered(2s, Outcome::Failed);
+  Answered(3s, Outcome::Refused);
+  Log.confirmed(MonoTime(1500ms)); // a peer read it before the calls failed
+  CHECK(Events == Lines{"configuration_service_call_failed"});
+  Answered(4s, Outcome::Done);
+  Answered(5s, Outcome::Done);
+  CHECK(Events == Lines{"configuration_service_call_failed",
+                        "configuration_service_answers"});
+  Events.clear();
+  // A peer reads: this process makes no call, whose answer would say more.
+  Answered(6s, Outcome::Failed);
+  Log.confirmed(MonoTime(7s));
+  Answered(18s, Outcome::Done);
+  CHECK(Events == Lines{"configuration_service_call_failed",
+                        "configuration_service_read_by_peer"});
+}
--- a/test/news-fleet.cc
+++ b/test/news-fleet.cc
@@ -134,6 +134,14 @@
   }
 }
 
+void NewsFleet::silenceConnections() {
+  for (Node &N : Nodes_) {
+    for (const auto &[Link, Peer] : N.Links_)
+      N.SilentLinks_.insert(Link);
+    N.CallsSilentFrom_ = Now_;
+  }
+}
+
 void NewsFleet::kill(std::size_t Which) {
   Node &N = Nodes_[Which];
   N.Alive_ = false;
@@ -207,6 +215,8 @@
   auto Known = Nodes_[From].Links_.find(Link);
   if (Known == Nodes_[From].Links_.end())
     return;
+  if (Nodes_[From].SilentLinks_.count(Link) != 0)
+    return;
   auto [To, Far] = Known->second;
   auto Arrive = [this, To = To, Far = Far, Bytes] {
     onNode(To, [=] {
@@ -228,9 +238,12 @@
   if (Known == Nodes_[Which].Links_.end())
     return;
   auto [Peer, Far] = Known->second;
+  bool Silent = Nodes_[Which].SilentLinks_.count(Link) != 0;
   Nodes_[Which].Links_.erase(Known);
-  Nodes_[Peer].Links_.erase(Far);
   onNode(Which, [=] { Nodes_[Which].News_->closed(Now_, Link); });
+  if (Silent)
+    return; // the other end does not hear of it
+  Nodes_[Peer].Links_.erase(Far);
   onNode(Peer, [this, Peer = Peer, Far = Far] {
     Nodes_[Peer].News_->closed(Now_, Far);
   });
@@ -256,7 +269,7 @@
   if (Call) {
     ++Calls_;
     LastReader_ = Which;
-    serve(Which, *Call);
+    serve(Which, *Call, Now_);
     return;
   }
   // A call that is due before the next tick.
@@ -268,7 +281,8 @@
     });
 }
 
-void NewsFleet::serve(std::size_t Which, const IntentCall &Call) {
+void NewsFleet::serve(std::size_t Which, const IntentCall &Call,
+                      MonoTime Began) {
   std::uint64_t Life = Nodes_[Which].Life_;
   auto Answer = [=](Micros Delay, const IntentAnswer &A) {
     after(Delay, [=] {
@@ -286,7 +300,8 @@
       });
     });
   };
-  if (Nodes_[Which].Silent_)
+  bool GoneSilent = Began < Nodes_[Which].CallsSilentFrom_;
+  if (Nodes_[Which].Silent_ || GoneSilent)
     return Answer(Call.GiveUpAt_ - Now_, {});
   if (Nodes_[Which].TurnedAway_ || ServiceDown_) {
     IntentAnswer Refused;
@@ -298,7 +313,7 @@
     return Answer(ServiceDelay, answerNow(Call));
   after(WatchLook, [=] {
     if (Nodes_[Which].Alive_ && Nodes_[Which].Life_ == Life)
-      serve(Which, Call);
+      serve(Which, Call, Began);
   });
 }
 
--- a/test/news-fleet.h
+++ b/test/news-fleet.h
@@ -50,6 +50,9 @@
   /// Packets between two members are held up; they arrive when it ends.
   void setHeldUp(std::size_t A, std::size_t B, bool HeldUp);
   void setServiceDown(bool Down) { ServiceDown_ = Down; }
+  /// Every open link, and every call under way, says nothing any more; new ones
+  /// work.
+  void silenceConnections();
   void kill(std::size_t Which);
   void restart(std::size_t Which);
 
@@ -77,6 +80,8 @@
     std::unique_ptr<NewsExchange> News_;
     std::unique_ptr<IntentReader> Reader_;
     std::map<LinkId, std::pair<std::size_t, LinkId>> Links_;
+    std::set<LinkId> SilentLinks_;
+    MonoTime CallsSilentFrom_{}; ///< Calls begun before it get no answer.
     std::vector<std::function<void()>> Held_; ///< While it is asleep.
     std::vector<UpstreamWarning> Warnings_;
     Version Routing_ = 0;
@@ -107,7 +112,7 @@
   void unlink(std::size_t Which, LinkId Link);
   void review(std::size_t Which);
   void tick(std::size_t Which);
-  void serve(std::size_t Which, const IntentCall &Call);
+  void serve(std::size_t Which, const IntentCall &Call, MonoTime Began);
   IntentAnswer answerNow(const IntentCall &Call) const;
   void noteClaim(std::size_t Which, MonoTime AsOf);
 
--- a/test/news-test.cc
+++ b/test/news-test.cc
@@ -316,3 +316,33 @@
     Large.kill(I);
   CHECK(Nobody(Large, 12s));
 }
+
+TEST_CASE("connections that go silent for good hide news for 2.5 s at most") {
+  // Whichever moment of a watch or of a heartbeat it strikes, twice.
+  for (Micros Offset = 0ms; Offset < 1000ms; Offset += 90ms) {
+    for (std::size_t Size : {std::size_t{2}, std::size_t{9}}) {
+      NewsFleet Fleet(Size);
+      Fleet.run(6s + Offset);
+      Fleet.silenceConnections();
+      CHECK(spread(Fleet, 4s) <= 2500ms);
+      Fleet.run(13s + Offset); // peers have found each other again
+      std::size_t Before = Fleet.calls();
+      Fleet.run(16s + Offset);
+      CHECK(Fleet.calls() - Before <= 8); // one reads for all again
+      Fleet.silenceConnections();
+      Fleet.publishRouting();
+      CHECK(spread(Fleet, 4s) <= 2500ms);
+    }
+  }
+}
+
+TEST_CASE("connections that go silent while the reader is taken over") {
+  for (Micros Offset = 0ms; Offset < 2000ms; Offset += 190ms) {
+    NewsFleet Fleet(9);
+    Fleet.run(6s);
+    Fleet.setTurnedAway(Fleet.lastReader(), true);
+    Fleet.run(6s + Offset);
+    Fleet.silenceConnections();
+    CHECK(spread(Fleet, 4s) <= 2800ms);
+  }
+}
