Mechanisms of the packet balancer can be left out, for proofs and ablation

Cause: support/prove left out mechanisms of the request balancer only, so nobody knew what each of the packet balancer's is worth or whether a test sees it. A build has them all unless THYMEWALL_WITHOUT names one.

--- a/src/held-packets.cc
+++ b/src/held-packets.cc
@@ -1,9 +1,13 @@
 #include "thymewall/held-packets.h"
 
+#include "mechanism.h"
+
 namespace thymewall {
 
 void HeldPackets::hold(MonoTime Now, const std::uint8_t *Data,
                        std::size_t Size) {
+  if (!detail::has(detail::Mechanism::HeldPackets))
+    return;
   Packets_.push_back({Now, std::vector<std::uint8_t>(Data, Data + Size)});
   while (Packets_.size() > Bound || Now - Packets_.front().At_ > HoldFor)
     Packets_.pop_front();
--- a/src/mechanism.h
+++ b/src/mechanism.h
@@ -12,17 +12,29 @@
 
 enum class Mechanism {
   None,
-  HomeOnly,       ///< Only the home hands on what may not be repeated.
-  NumberWindow,   ///< The home's memory of used request numbers.
-  HomeEpoch,      ///< A lost flow row is noticed.
-  Fence,          ///< A successor adopts only what the old home never had.
-  StopHandingOn,  ///< A stopped home delegates.
-  AttemptMatch,   ///< Answers belong to one hand-over.
-  TruthfulNotRun, ///< `Not run` is lowered where it can't be known.
-  RouteTag,       ///< Routes are authenticated for service and flow.
-  Monotonic,      ///< A declaration never gives way to an earlier one.
-  LateWake,       ///< A process that was away rereads first.
-  Leaving         ///< Leaving upstreams are no candidates.
+  HomeOnly,        ///< Only the home hands on what may not be repeated.
+  NumberWindow,    ///< The home's memory of used request numbers.
+  HomeEpoch,       ///< A lost flow row is noticed.
+  Fence,           ///< A successor adopts only what the old home never had.
+  StopHandingOn,   ///< A stopped home delegates.
+  AttemptMatch,    ///< Answers belong to one hand-over.
+  TruthfulNotRun,  ///< `Not run` is lowered where it can't be known.
+  RouteTag,        ///< Routes are authenticated for service and flow.
+  Monotonic,       ///< A declaration never gives way to an earlier one.
+  LateWake,        ///< A process that was away rereads first.
+  Leaving,         ///< Leaving upstreams are no candidates.
+  OpeningRetries,  ///< Unanswered openings go to another upstream.
+  OpeningEjection, ///< Upstreams that answer no opening get no more.
+  Stalls,          ///< Upstreams that answer no request get no more.
+  Checks,          ///< Silent upstreams are checked, and their flows reset.
+  Warnings,        ///< Peers are told of dead and stalled upstreams.
+  HeldPackets,     ///< Packets wait for what a start has to learn.
+  EndedUpstreams,  ///< A start learns of ended upstreams from peers.
+  LostHall,        ///< The living of a lost data hall leave it to others.
+  OneReader,       ///< One balancer reads for the fleet.
+  KnowledgeAge,    ///< Unknown addresses are reset only on fresh knowledge.
+  LeastLoaded,     ///< The less loaded of two candidates.
+  ColdRamp         ///< Cold upstreams get fewer flows.
 };
 
 constexpr Mechanism Without = Mechanism::THYMEWALL_WITHOUT;
--- a/src/member-list.cc
+++ b/src/member-list.cc
@@ -1,5 +1,7 @@
 #include "member-list.h"
 
+#include "mechanism.h"
+
 #include <algorithm>
 
 namespace thymewall::detail {
@@ -51,7 +53,7 @@
 }
 
 bool MemberList::hallIsLost(MonoTime Now, const std::string &Hall) const {
-  if (Known_.size() > HeardOf)
+  if (Known_.size() > HeardOf || !has(Mechanism::LostHall))
     return false;
   std::map<std::string, HallCount> Halls;
   Halls[Hall] = {1, 1};
--- a/src/news.cc
+++ b/src/news.cc
@@ -1,5 +1,6 @@
 #include "thymewall/news.h"
 
+#include "mechanism.h"
 #include "member-list.h"
 #include "peer-choice.h"
 
@@ -220,7 +221,8 @@
   Version Ours = Routing_ ? Routing_->Version_ : 0;
   bool Behind = Ours < M.Routing_ || List_.through() < M.Through_;
   Link &L = Links_[Which];
-  bool WantsEnded = EndedAnswers_ < AskedForEnded && !L.AskedEnded_;
+  bool WantsEnded = EndedAnswers_ < AskedForEnded && !L.AskedEnded_ &&
+                    detail::has(detail::Mechanism::EndedUpstreams);
   if ((!Behind && !WantsEnded) || Now < AskAgainAt_)
     return;
   AskAgainAt_ = Now + AnswerWithin;
@@ -269,7 +271,8 @@
                               const LinkId *From) {
   auto Known = Told_.find(M);
   bool Repeated = Known != Told_.end() && Now < Known->second;
-  if (Repeated || Told_.size() >= MaxWarnings)
+  if (!detail::has(detail::Mechanism::Warnings) || Repeated ||
+      Told_.size() >= MaxWarnings)
     return false;
   Told_[M] = Now + WarnAgainAfter;
   for (const auto &[Which, L] : Links_) {
@@ -430,7 +433,8 @@
   if (Members_.size() == 0 && !EverLinked_ && KnownAsOf_ != MonoTime{})
     return KnownAsOf_ + PeersWithin;
   std::size_t Rank = readRank();
-  if (Rank == 0 || Reading_ || KnownAsOf_ == MonoTime{})
+  bool ReadsAnyway = !detail::has(detail::Mechanism::OneReader);
+  if (ReadsAnyway || Rank == 0 || Reading_ || KnownAsOf_ == MonoTime{})
     return MonoTime{};
   Micros Steps = ReadStep * std::min(Rank, ReadSteps);
   return KnownAsOf_ + ReadAfter + Steps;
--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -1,3 +1,4 @@
+#include "mechanism.h"
 #include "packet-balancer-impl.h"
 
 #include <algorithm>
@@ -5,6 +6,8 @@
 namespace thymewall {
 
 using detail::cookieOf;
+using detail::has;
+using detail::Mechanism;
 using detail::PacketFlowRow;
 
 namespace {
@@ -35,6 +38,8 @@
 } // namespace
 
 void PacketBalancer::Impl::suspect(std::uint32_t Index) {
+  if (!has(Mechanism::OpeningEjection))
+    return;
   bool Before = Upstreams_[Index].EjectedUntil_ > Now_;
   // Flows differ enough from balancer to balancer to spread the returns.
   double Jitter = static_cast<double>(raw(Upstreams_[Index].Id_) % 1000) / 1000;
@@ -46,7 +51,8 @@
 /// A packet got no answer in the time after which it is sent again.
 void PacketBalancer::Impl::check(std::uint32_t Index) {
   Detail &D = Details_[Index];
-  bool Wanted = Options_.OnCheck_ && !D.Draining_ && !D.Ended_;
+  bool Wanted =
+      Options_.OnCheck_ && !D.Draining_ && !D.Ended_ && has(Mechanism::Checks);
   if (!Wanted || D.NextCheckAt_ > Now_)
     return;
   D.NextCheckAt_ = Now_ + CheckEvery;
@@ -108,6 +114,8 @@
 void PacketBalancer::Impl::setStalled(std::uint32_t Index) {
   Detail &D = Details_[Index];
   D.WaitingSince_ = MonoTime{}; // the same request counts once
+  if (!has(Mechanism::Stalls))
+    return;
   if (Upstreams_[Index].EjectedUntil_ > Now_)
     return; // others see what led to this ejection only now
   std::uint32_t Times = std::min(LongestStall, 1U << std::min(D.Stalls_, 8U));
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -1,3 +1,4 @@
+#include "mechanism.h"
 #include "packet-balancer-impl.h"
 
 #include <algorithm>
@@ -34,7 +35,8 @@
     return refuse(P, ErrorKind::TableNotFresh);
   const std::vector<ServiceShare> *Shares = Routing_->find(P.Service_);
   if (!Shares) {
-    bool Fresh = Now - KnownAsOf_ < Options_.ResetWhenKnown_;
+    bool Fresh = Now - KnownAsOf_ < Options_.ResetWhenKnown_ ||
+                 !detail::has(detail::Mechanism::KnowledgeAge);
     return refuse(P,
                   Fresh ? ErrorKind::UnknownAddress : ErrorKind::TableNotFresh);
   }
@@ -77,7 +79,8 @@
   const std::vector<ServiceShare> *Shares =
       Routing_ ? Routing_->find(P.Service_) : nullptr;
   const PacketFlowRow *Row = Flows_.find(Flow);
-  if (!Shares || !Row || Row->Open_)
+  bool Retries = detail::has(detail::Mechanism::OpeningRetries);
+  if (!Retries || !Shares || !Row || Row->Open_)
     return Dropped{};
   std::uint32_t Before = Row->Upstream_;
   noteSilence(Before);
--- a/src/upstream-table.cc
+++ b/src/upstream-table.cc
@@ -15,7 +15,7 @@
 
 /// A cold upstream takes a share of its candidates that grows to all of them.
 bool admitsWhileCold(const Choice &C, const UpstreamRow &Row) {
-  if (C.Now_ >= Row.WarmAt_)
+  if (C.Now_ >= Row.WarmAt_ || !detail::has(detail::Mechanism::ColdRamp))
     return true;
   auto Left = std::chrono::duration<double>(Row.WarmAt_ - C.Now_);
   auto Whole = std::chrono::duration<double>(UpstreamTable::ColdStart);
@@ -43,6 +43,8 @@
   bool ColdB = !admitsWhileCold(C, B);
   if (ColdA != ColdB)
     return ColdA ? Second : First;
+  if (!detail::has(detail::Mechanism::LeastLoaded))
+    return First;
   std::uint64_t LoadA = std::uint64_t{Load(A)} * B.Slots_;
   std::uint64_t LoadB = std::uint64_t{Load(B)} * A.Slots_;
   return LoadB < LoadA ? Second : First;
