Silence is evidence against an upstream only where callers are sent

Change: while a balancer is not ready, it counts neither stalls nor unanswered retries against an upstream.

--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -40,6 +40,7 @@
                MonoTime Began);
   void warned(MonoTime Now, const UpstreamWarning &M);
   void confirm(MonoTime AsOf) { KnownAsOf_ = std::max(KnownAsOf_, AsOf); }
+  void setServing(bool Serving) { Serving_ = Serving; }
   void tick(MonoTime Now);
   void setLimits(Micros ResetWhenKnown, Micros FlowLimit) {
     Options_.ResetWhenKnown_ = ResetWhenKnown;
@@ -143,6 +144,7 @@
   MonoTime KnownAsOf_{};
   MonoTime NextTickBy_ = MonoTime::max();
   bool ListKnown_ = false;
+  bool Serving_ = true;
 };
 
 } // namespace thymewall
--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -103,7 +103,9 @@
 
 void PacketBalancer::Impl::noteStalls() {
   for (std::uint32_t Index = 0; Index < Details_.size(); ++Index) {
-    const Detail &D = Details_[Index];
+    Detail &D = Details_[Index];
+    if (!Serving_)
+      D.WaitingSince_ = MonoTime{}; // the answer is seen by another balancer
     bool Waits = D.WaitingSince_ != MonoTime{};
     if (Waits && Now_ - D.WaitingSince_ > StalledAfter)
       setStalled(Index);
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -83,7 +83,8 @@
   if (!Retries || !Shares || !Row || Row->Open_)
     return Dropped{};
   std::uint32_t Before = Row->Upstream_;
-  noteSilence(Before);
+  if (Serving_)
+    noteSilence(Before);
   std::uint32_t Index =
       choose(drawService(*Shares, Flow), Flow, RetryDraw, Before);
   if (Index == UpstreamTable::None || Index == Before)
@@ -224,6 +225,7 @@
   Impl_->warned(Now, M);
 }
 void PacketBalancer::confirm(MonoTime AsOf) { Impl_->confirm(AsOf); }
+void PacketBalancer::setServing(bool Serving) { Impl_->setServing(Serving); }
 void PacketBalancer::tick(MonoTime Now) { Impl_->tick(Now); }
 void PacketBalancer::setLimits(Micros ResetWhenKnown, Micros FlowLimit) {
   Impl_->setLimits(ResetWhenKnown, FlowLimit);
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -262,9 +262,10 @@
 void PacketProcess::Impl::review() {
   MonoTime Now = monoNow();
   if (Now >= NextTick_) {
-    Core_.tick(Now);
     News_.tick(Now);
     noteHall(Now);
+    Core_.setServing(ready());
+    Core_.tick(Now);
     endWhenQuiet(Now);
     lookAtSettings(Now);
     flushLog();
--- a/test/upstream-check-test.cc
+++ b/test/upstream-check-test.cc
@@ -310,6 +310,32 @@
   }
 }
 
+TEST_CASE(
+    "while callers are sent to other balancers, silence here says nothing") {
+  Balancer3 B;
+  std::uint64_t Up = B.request(1);
+  B.B_.setServing(false);
+  B.B_.tick(at(250ms));
+  B.B_.tick(at(750ms)); // the flow goes on at another balancer
+  CHECK(B.takesFlows(Up, 760ms));
+  // An opening that may have been answered at another balancer is sent to a
+  // second upstream, and the first one is not held to be silent.
+  std::uint64_t Opened = B.open(800ms, 2);
+  Packet P = packet(2);
+  P.Opens_ = true;
+  CHECK(std::holds_alternative<Forward>(B.B_.retryOpening(at(840ms), P)));
+  CHECK(B.takesFlows(Opened, 850ms));
+  CHECK(B.Checks_.empty());
+  // Nor does what began then count once callers come here again.
+  B.B_.setServing(true);
+  B.B_.tick(at(1000ms));
+  CHECK(B.takesFlows(Up, 1010ms));
+  B.follow(1100ms, 1, Up, 1000, 1, 100);
+  B.B_.tick(at(1250ms));
+  B.B_.tick(at(1750ms));
+  CHECK_FALSE(B.takesFlows(Up, 1760ms));
+}
+
 TEST_CASE("a peer's warning of a dead upstream asks for a check of our own") {
   Balancer3 B;
   std::uint64_t Up = B.request(1);
