Waits for openings and answers follow what is observed

Cause: 40 ms for an opening and 600 ms for a request were constants taken from the deployments of today. Ruled out: settings for them (operators would have to guess, and services of one fleet differ); the longest answer seen (one that survives a loss of power would blind the judgement for a minute). Change: a mean of the last openings, times 3, between 40 and 160 ms; for each service a mean of its answers, times 8, at least 600 ms, and no judgement before its first answer; a caller's copy is evidence only against an upstream that had that long.

--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -188,14 +188,17 @@
   void warned(MonoTime Now, const UpstreamWarning &M);
   /// All that was published up to \p AsOf is known.
   void confirm(MonoTime AsOf);
-  /// Whether the fabric is asked to send callers here. While it is not, a flow's
-  /// next packet comes to another balancer, so that silence here says nothing of
-  /// an upstream.
+  /// Whether the fabric is asked to send callers here. While it is not, a
+  /// flow's next packet comes to another balancer, so that silence here says
+  /// nothing of an upstream.
   void setServing(bool Serving);
   void tick(MonoTime Now);
   /// Changes `ResetWhenKnown_` and `FlowLimit_` of the options.
   void setLimits(Micros ResetWhenKnown, Micros FlowLimit);
 
+  /// How long an opening may stay unanswered before it is worth a retry: what
+  /// openings usually take here decides.
+  Micros openingWait() const;
   /// True once a routing table and a list of upstreams are in hand.
   bool ready() const;
   const PacketCounters &counters() const;
--- a/include/thymewall/unanswered-openings.h
+++ b/include/thymewall/unanswered-openings.h
@@ -17,6 +17,8 @@
   /// The caller's acknowledgement takes 5 to 12 ms (3 ms to callers, 2 ms
   /// between data halls), on a host five times slower about 20 ms.
   static constexpr Micros AnswerWithin = std::chrono::milliseconds(40);
+  /// Less would be no gain over the caller's own copy.
+  static constexpr Micros LongestWait = std::chrono::milliseconds(160);
   /// The caller sends a copy itself after this long.
   static constexpr Micros CopyAfter = std::chrono::milliseconds(200);
   /// A review this late means that this process did not run, so that answers
@@ -27,6 +29,8 @@
 
   using Taker = std::function<void(const std::uint8_t *Data, std::size_t Size)>;
 
+  /// How long the next openings may stay unanswered.
+  void setWait(Micros Wait) { Wait_ = Wait; }
   /// Keeps a copy of a packet that opens a flow; when there are too many, none.
   void add(MonoTime Now, const std::uint8_t *Data, std::size_t Size);
   /// When `takeDue` should be called; the far future when nothing waits.
@@ -44,6 +48,7 @@
   void postpone(MonoTime Now);
 
   std::deque<Waiting> Packets_;
+  Micros Wait_ = AnswerWithin;
 };
 
 } // namespace thymewall
--- a/src/opening-retries.h
+++ b/src/opening-retries.h
@@ -19,6 +19,7 @@
 
   OpeningRetries(asio::io_context &Context, Handler OnDue);
 
+  void setWait(Micros Wait) { Openings_.setWait(Wait); }
   /// An opening packet was sent to an upstream.
   void sent(MonoTime Now, const std::uint8_t *Data, std::size_t Size);
 
--- a/src/packet-balancer-flows.cc
+++ b/src/packet-balancer-flows.cc
@@ -61,11 +61,15 @@
   Count = InProgress ? Count + 1 : Count - 1;
 }
 
-void PacketBalancer::Impl::measure(const PacketFlowRow &Row,
-                                   DelayClass Class) const {
+void PacketBalancer::Impl::measure(const PacketFlowRow &Row, DelayClass Class) {
+  ServiceId Service = Details_[Row.Upstream_].Service_;
+  Micros Delay = Now_ - Row.Since_;
+  if (Class == DelayClass::Open)
+    Openings_.add(Delay);
+  else
+    Services_[raw(Service)].Answers_.add(Delay);
   if (Options_.OnDelay_)
-    Options_.OnDelay_(Details_[Row.Upstream_].Service_, Class,
-                      Now_ - Row.Since_);
+    Options_.OnDelay_(Service, Class, Delay);
 }
 
 void PacketBalancer::Impl::noteProgress(const Packet &P, FlowId Flow,
--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -5,6 +5,7 @@
 #ifndef THYMEWALL_SRC_PACKET_BALANCER_IMPL_H
 #define THYMEWALL_SRC_PACKET_BALANCER_IMPL_H
 
+#include "observed-delay.h"
 #include "packet-flow.h"
 #include "thymewall/packet-balancer.h"
 
@@ -49,6 +50,7 @@
   bool ready() const { return Routing_ && ListKnown_; }
   const PacketCounters &counters() const { return Counters_; }
   PacketStatus status(MonoTime Now) const;
+  Micros openingWait() const;
 
 private:
   /// What belongs to a row of the upstream table with the same index.
@@ -77,6 +79,7 @@
   struct ServiceState {
     std::vector<std::uint32_t> Members_;
     Eligible Eligible_;
+    detail::ObservedDelay Answers_; ///< From request to acknowledged answer.
     std::uint64_t Generation_ = 0;
   };
 
@@ -96,7 +99,7 @@
   void noteProgress(const Packet &P, FlowId Flow, std::uint32_t Index);
   detail::PacketFlowRow *noteFollowed(const Packet &P, FlowId Flow,
                                       std::uint32_t Index);
-  void measure(const detail::PacketFlowRow &Row, DelayClass Class) const;
+  void measure(const detail::PacketFlowRow &Row, DelayClass Class);
   void setInProgress(detail::PacketFlowRow &Row, bool InProgress);
   void endFlow(detail::PacketFlowRow &Row);
   void moveFlow(detail::PacketFlowRow &Row, std::uint32_t Index);
@@ -114,6 +117,7 @@
   void noteRequest(std::uint32_t Index);
   void noteAnswer(std::uint32_t Index);
   void noteStalls();
+  bool waitsTooLong(std::uint32_t Index) const;
   void setStalled(std::uint32_t Index);
   std::uint32_t indexOf(Incarnation Which) const;
   void setAlive(std::uint32_t Index);
@@ -145,6 +149,7 @@
   MonoTime NextTickBy_ = MonoTime::max();
   bool ListKnown_ = false;
   bool Serving_ = true;
+  detail::ObservedDelay Openings_; ///< From opening to acknowledged answer.
 };
 
 } // namespace thymewall
--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -20,8 +20,11 @@
 constexpr Micros FirstRecheck = std::chrono::milliseconds(1000);
 constexpr Micros LongestRecheck = std::chrono::milliseconds(4000);
 
-/// A request unanswered for longer, with no other answer of its upstream since
-/// it was sent, is one that the upstream sits on: work takes 310 ms at most.
+/// A request unanswered for so many times the usual, with no other answer of
+/// its upstream since it was sent, is one that the upstream sits on: work of
+/// the services of today takes up to 6 times its mean, and never less than the
+/// second, so that a caller's packet may be lost twice.
+constexpr int StalledTimes = 8;
 constexpr Micros StalledAfter = std::chrono::milliseconds(600);
 /// New flows go elsewhere for this long, doubled with each stall in a row up to
 /// this many times.
@@ -84,7 +87,8 @@
   Detail &D = Details_[Index];
   if (M.Kind_ == UpstreamWarning::Kind::Dead)
     D.CheckWanted_ = true;
-  else if (Now - D.AnswerAt_ > StalledAfter)
+  else if (Now - D.AnswerAt_ > Services_[raw(D.Service_)].Answers_.times(
+                                   StalledTimes, StalledAfter))
     setStalled(Index);
 }
 
@@ -103,15 +107,25 @@
 
 void PacketBalancer::Impl::noteStalls() {
   for (std::uint32_t Index = 0; Index < Details_.size(); ++Index) {
-    Detail &D = Details_[Index];
-    if (!Serving_)
-      D.WaitingSince_ = MonoTime{}; // the answer is seen by another balancer
-    bool Waits = D.WaitingSince_ != MonoTime{};
-    if (Waits && Now_ - D.WaitingSince_ > StalledAfter)
+    if (!Serving_) // the answer is seen by another balancer
+      Details_[Index].WaitingSince_ = MonoTime{};
+    if (waitsTooLong(Index))
       setStalled(Index);
   }
 }
 
+/// Judged by what the service usually takes: nothing is known of a service
+/// whose first answer has not come.
+bool PacketBalancer::Impl::waitsTooLong(std::uint32_t Index) const {
+  const Detail &D = Details_[Index];
+  auto Of = Services_.find(raw(D.Service_));
+  bool Waits = D.WaitingSince_ != MonoTime{};
+  if (!Waits || Of == Services_.end() || !Of->second.Answers_.known())
+    return false;
+  return Now_ - D.WaitingSince_ >
+         Of->second.Answers_.times(StalledTimes, StalledAfter);
+}
+
 /// A soft judgement: other upstreams take the new flows, nothing is reset.
 void PacketBalancer::Impl::setStalled(std::uint32_t Index) {
   Detail &D = Details_[Index];
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -1,6 +1,8 @@
 #include "mechanism.h"
 #include "packet-balancer-impl.h"
 
+#include "thymewall/unanswered-openings.h"
+
 #include <algorithm>
 
 namespace thymewall {
@@ -62,7 +64,8 @@
   PacketFlowRow *Row = Flows_.find(Flow);
   if (Row && Copy > 0 && !Row->Open_) {
     Before = Row->Upstream_;
-    noteSilence(Before);
+    if (Now_ - Row->Since_ >= openingWait())
+      noteSilence(Before);
   }
   std::uint32_t Index = choose(drawService(Shares, Flow), Flow, Copy, Before);
   if (Index == UpstreamTable::None)
@@ -164,6 +167,14 @@
   Routing_ = std::move(Table);
 }
 
+/// Three times the usual: a lost packet or a cold upstream is rarer than one
+/// in a hundred openings, and a retry costs one connection.
+Micros PacketBalancer::Impl::openingWait() const {
+  constexpr int Times = 3;
+  return std::min(Openings_.times(Times, UnansweredOpenings::AnswerWithin),
+                  UnansweredOpenings::LongestWait);
+}
+
 void PacketBalancer::Impl::tick(MonoTime Now) {
   Now_ = Now;
   if (Now > NextTickBy_) {
@@ -230,6 +241,7 @@
 void PacketBalancer::setLimits(Micros ResetWhenKnown, Micros FlowLimit) {
   Impl_->setLimits(ResetWhenKnown, FlowLimit);
 }
+Micros PacketBalancer::openingWait() const { return Impl_->openingWait(); }
 bool PacketBalancer::ready() const { return Impl_->ready(); }
 const PacketCounters &PacketBalancer::counters() const {
   return Impl_->counters();
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -266,6 +266,7 @@
     noteHall(Now);
     Core_.setServing(ready());
     Core_.tick(Now);
+    Openings_.setWait(Core_.openingWait());
     endWhenQuiet(Now);
     lookAtSettings(Now);
     flushLog();
--- a/src/unanswered-openings.cc
+++ b/src/unanswered-openings.cc
@@ -5,7 +5,7 @@
 void UnansweredOpenings::add(MonoTime Now, const std::uint8_t *Data,
                              std::size_t Size) {
   if (Packets_.size() < Bound)
-    Packets_.push_back({Now + AnswerWithin, Now + CopyAfter,
+    Packets_.push_back({Now + Wait_, Now + CopyAfter,
                         std::vector<std::uint8_t>(Data, Data + Size)});
 }
 
@@ -27,7 +27,7 @@
   std::deque<Waiting> All;
   All.swap(Packets_);
   for (Waiting &W : All) {
-    W.AnswerBy_ = Now + AnswerWithin;
+    W.AnswerBy_ = Now + Wait_;
     if (W.AnswerBy_ < W.CopyAt_)
       Packets_.push_back(std::move(W));
   }
--- a/test/unanswered-openings-test.cc
+++ b/test/unanswered-openings-test.cc
@@ -40,6 +40,16 @@
   CHECK(taken(Openings, 60ms) == Numbers{});
 }
 
+TEST_CASE("the time for an answer follows what is set") {
+  UnansweredOpenings Openings;
+  add(Openings, 0ms, 1);
+  Openings.setWait(120ms);
+  add(Openings, 10ms, 2);
+  CHECK(taken(Openings, 45ms) == Numbers{1});
+  CHECK(taken(Openings, 120ms) == Numbers{});
+  CHECK(taken(Openings, 130ms) == Numbers{2});
+}
+
 TEST_CASE("a process that did not run waits for the answers in its socket") {
   UnansweredOpenings Openings;
   add(Openings, 0ms, 1);
