Exchange of news, packet process and tests of silence in files of one job each

Moved, not changed: links and heartbeats of the exchange to news-links.cc; peers and the configuration service, and what operators and the platform ask, to packet-process-news.cc and packet-process-control.cc, with private headers; tests of stalls and waits to upstream-stall-test.cc.

--- /dev/null
+++ b/src/news-impl.h
@@ -0,0 +1,129 @@
+/// \file
+/// Inside of `NewsExchange`: what is known and who reads (news.cc), and links
+/// and heartbeats (news-links.cc).
+#ifndef THYMEWALL_SRC_NEWS_IMPL_H
+#define THYMEWALL_SRC_NEWS_IMPL_H
+
+#include "member-list.h"
+#include "peer-choice.h"
+#include "thymewall/news.h"
+
+#include <deque>
+#include <set>
+
+namespace thymewall {
+
+namespace detail {
+
+/// One connection to a peer.
+struct NewsLink {
+  struct Sent {
+    std::uint64_t Sequence_;
+    MonoTime At_;
+  };
+
+  bool OpenedHere_ = false;
+  std::string Peer_; ///< Name, once a heartbeat came.
+  MonoTime SilentAt_{};
+  std::uint64_t Sequence_ = 0;
+  std::uint64_t LastHeard_ = 0;
+  std::deque<Sent> Sent_;
+  MonoTime AskedAt_{}; ///< When news was last asked for.
+  bool AskedEnded_ = false;
+
+  /// The time after which the peer must have sent a message with this echo.
+  MonoTime sentAt(std::uint64_t Echo) const {
+    for (const Sent &S : Sent_)
+      if (S.Sequence_ == Echo)
+        return S.At_;
+    return MonoTime{};
+  }
+};
+
+} // namespace detail
+
+class NewsExchange::Impl {
+public:
+  Impl(NewsOptions Options, NewsHooks Hooks)
+      : Options_(std::move(Options)), Hooks_(std::move(Hooks)),
+        Members_(Options_.Self_.Name_),
+        Score_(detail::readScore(Options_.Self_.Name_)) {}
+
+  void opened(MonoTime Now, LinkId Which, bool OpenedHere);
+  void closed(MonoTime Now, LinkId Which);
+  void connectFailed(MonoTime Now, const Endpoint &Control);
+  void received(MonoTime Now, LinkId Which, const NewsMessage &M);
+  bool readDone(MonoTime Now, const RoutingTablePtr &Routing,
+                const UpstreamBatch &Upstreams, MonoTime AsOf);
+  void readFailed() { Reading_ = false; }
+  void warn(MonoTime Now, const UpstreamWarning &M) { tell(Now, M, nullptr); }
+  void setLeaving(MonoTime Now);
+  void setSeeds(std::vector<Endpoint> Seeds) {
+    Options_.Seeds_ = std::move(Seeds);
+  }
+  void tick(MonoTime Now);
+  MonoTime readFrom() const;
+  Revision through() const { return List_.through(); }
+  MonoTime knownAsOf() const { return KnownAsOf_; }
+  std::size_t fleetSize() const {
+    return Links_.empty() ? 1 : Members_.size() + 1;
+  }
+  bool hallIsLost(MonoTime Now) const {
+    return Members_.hallIsLost(Now, Options_.Self_.DataHall_);
+  }
+  NewsCounters counters() const;
+  std::vector<PeerStatus> peers() const;
+
+private:
+  void take(MonoTime Now, LinkId Which, const PeerHeartbeat &M);
+  void take(MonoTime Now, LinkId Which, const NewsWanted &M);
+  void take(MonoTime Now, LinkId Which, const News &M);
+  void take(MonoTime Now, LinkId Which, const UpstreamWarning &M);
+  bool tell(MonoTime Now, const UpstreamWarning &M, const LinkId *From);
+  bool apply(MonoTime Now, const RoutingTablePtr &Routing,
+             const UpstreamBatch &Upstreams);
+  void takeClaim(MonoTime Now, const detail::NewsLink &L,
+                 const PeerHeartbeat &M);
+  void noteReader(std::uint64_t Score, MonoTime At, MonoTime Now);
+  void confirm(MonoTime Now, MonoTime AsOf);
+  void askIfBehind(MonoTime Now, LinkId Which, const PeerHeartbeat &M);
+  void closeSpare(LinkId Which, const std::string &Peer);
+  PeerHeartbeat heartbeat(MonoTime Now, std::size_t Members);
+  void beat(MonoTime Now, LinkId Which, detail::NewsLink &L,
+            std::size_t Members);
+  void beatAll(MonoTime Now);
+  void keepLinks(MonoTime Now);
+  void closeUnwanted(const std::vector<Member> &Wanted);
+  void connect(const Endpoint &Control);
+  bool linkedTo(const std::string &Name) const;
+  std::uint32_t knownAgeMs(MonoTime Now) const {
+    return KnownAsOf_ == MonoTime{} ? PeerHeartbeat::NeverKnown
+                                    : detail::ageMs(KnownAsOf_, Now);
+  }
+  std::size_t readRank() const;
+
+  NewsOptions Options_;
+  NewsHooks Hooks_;
+  NewsCounters Counters_;
+  RoutingTablePtr Routing_;
+  UpstreamList List_;
+  std::map<LinkId, detail::NewsLink> Links_;
+  detail::MemberList Members_;
+  std::set<Endpoint> Connecting_;
+  std::map<UpstreamWarning, MonoTime> Told_; ///< Until when not told again.
+  std::uint64_t Score_;                      ///< Place in the order of readers.
+  std::uint64_t Reader_ = 0; ///< Place of the first one that reads.
+  MonoTime ReaderAt_{};      ///< Its last answer.
+  MonoTime KnownAsOf_{};
+  MonoTime ToldAsOf_{}; ///< `KnownAsOf_` when it was last told.
+  MonoTime NextBeat_{};
+  MonoTime AskAgainAt_{};
+  std::size_t EndedAnswers_ = 0; ///< Not more are asked for than are needed.
+  bool Reading_ = false; ///< Reads, and knows of no better one that does.
+  bool EverLinked_ = false;
+  bool Leaving_ = false;
+};
+
+} // namespace thymewall
+
+#endif
--- /dev/null
+++ b/src/news-links.cc
@@ -0,0 +1,159 @@
+#include "news-impl.h"
+
+#include <algorithm>
+
+namespace thymewall {
+
+using detail::NewsLink;
+
+namespace {
+
+/// Members told of when a link opens, and with each heartbeat.
+constexpr std::size_t MembersAtOpening = 64;
+constexpr std::size_t MembersPerHeartbeat = 3;
+/// Heartbeats whose time of sending is remembered for a link.
+constexpr std::size_t SentTimesKept = 16;
+
+} // namespace
+
+void NewsExchange::Impl::opened(MonoTime Now, LinkId Which, bool OpenedHere) {
+  NewsLink &L = Links_[Which];
+  L.OpenedHere_ = OpenedHere;
+  EverLinked_ = true;
+  L.SilentAt_ = Now + SilentAfter;
+  beat(Now, Which, L, MembersAtOpening);
+}
+
+void NewsExchange::Impl::closed(MonoTime Now, LinkId Which) {
+  auto Known = Links_.find(Which);
+  if (Known == Links_.end())
+    return;
+  std::string Peer = Known->second.Peer_;
+  Links_.erase(Known);
+  if (!linkedTo(Peer))
+    Members_.avoid(Peer, Now + AvoidFor);
+}
+
+void NewsExchange::Impl::connectFailed(MonoTime Now, const Endpoint &Control) {
+  Connecting_.erase(Control);
+  Members_.avoid(Control, Now + AvoidFor);
+}
+
+void NewsExchange::Impl::setLeaving(MonoTime Now) {
+  Leaving_ = true;
+  beatAll(Now);
+}
+
+void NewsExchange::Impl::closeSpare(LinkId Which, const std::string &Peer) {
+  // Of two links between two balancers, the one that the later name opened
+  // goes.
+  auto Count =
+      std::count_if(Links_.begin(), Links_.end(), [&](const auto &Item) {
+        return Item.second.Peer_ == Peer;
+      });
+  if (Count < 2 || !Links_[Which].OpenedHere_ || Options_.Self_.Name_ < Peer)
+    return;
+  Hooks_.Close_(Which);
+}
+
+PeerHeartbeat NewsExchange::Impl::heartbeat(MonoTime Now, std::size_t Count) {
+  PeerHeartbeat M;
+  M.Sender_ = Options_.Self_;
+  M.Leaving_ = Leaving_;
+  M.Routing_ = Routing_ ? Routing_->Version_ : 0;
+  M.Through_ = List_.through();
+  M.KnownAgeMs_ = knownAgeMs(Now);
+  M.Reader_ = Reader_;
+  if (Now - ReaderAt_ < ReadAfter)
+    M.ReaderAgeMs_ = detail::ageMs(ReaderAt_, Now);
+  M.Members_ = Members_.inTurn(Now, Count);
+  return M;
+}
+
+void NewsExchange::Impl::beat(MonoTime Now, LinkId Which, NewsLink &L,
+                              std::size_t Members) {
+  PeerHeartbeat M = heartbeat(Now, Members);
+  M.Sequence_ = ++L.Sequence_;
+  M.Echo_ = L.LastHeard_;
+  L.Sent_.push_back({M.Sequence_, Now});
+  if (L.Sent_.size() > SentTimesKept)
+    L.Sent_.pop_front();
+  ++Counters_.HeartbeatsSent_;
+  Hooks_.Send_(Which, M);
+}
+
+void NewsExchange::Impl::beatAll(MonoTime Now) {
+  ToldAsOf_ = KnownAsOf_;
+  NextBeat_ = Now + HeartbeatEvery;
+  for (auto &[Which, L] : Links_)
+    beat(Now, Which, L, MembersPerHeartbeat);
+}
+
+void NewsExchange::Impl::tick(MonoTime Now) {
+  std::vector<LinkId> Silent;
+  for (const auto &[Which, L] : Links_)
+    if (Now > L.SilentAt_)
+      Silent.push_back(Which);
+  for (LinkId Which : Silent) {
+    closed(Now, Which);
+    Hooks_.Close_(Which);
+  }
+  Members_.forgetSilent(Now);
+  for (auto Item = Told_.begin(); Item != Told_.end();)
+    Item = Now >= Item->second ? Told_.erase(Item) : std::next(Item);
+  if (Now >= NextBeat_)
+    beatAll(Now);
+  keepLinks(Now);
+}
+
+bool NewsExchange::Impl::linkedTo(const std::string &Name) const {
+  return std::any_of(Links_.begin(), Links_.end(), [&](const auto &Item) {
+    return Item.second.Peer_ == Name;
+  });
+}
+
+void NewsExchange::Impl::keepLinks(MonoTime Now) {
+  if (Leaving_)
+    return;
+  if (Links_.empty())
+    for (const Endpoint &Seed : Options_.Seeds_)
+      if (Seed != Options_.Self_.Control_)
+        connect(Seed);
+  std::vector<Member> Wanted =
+      detail::choosePeers(Members_.reachable(Now), Options_.Self_, OpenedLinks);
+  for (const Member &M : Wanted)
+    if (!linkedTo(M.Name_))
+      connect(M.Control_);
+  closeUnwanted(Wanted);
+}
+
+/// Closes links opened to others than the wanted peers, to seeds for example,
+/// once those are linked to: the number of links stays bounded everywhere.
+void NewsExchange::Impl::closeUnwanted(const std::vector<Member> &Wanted) {
+  auto IsWanted = [&](const std::string &Name) {
+    return std::any_of(Wanted.begin(), Wanted.end(),
+                       [&](const Member &M) { return M.Name_ == Name; });
+  };
+  if (Wanted.size() < OpenedLinks)
+    return;
+  for (const Member &M : Wanted)
+    if (!linkedTo(M.Name_))
+      return;
+  for (const auto &[Which, L] : Links_)
+    if (L.OpenedHere_ && !L.Peer_.empty() && !IsWanted(L.Peer_))
+      Hooks_.Close_(Which);
+}
+
+void NewsExchange::Impl::connect(const Endpoint &Control) {
+  if (Connecting_.insert(Control).second)
+    Hooks_.Connect_(Control);
+}
+
+std::vector<PeerStatus> NewsExchange::Impl::peers() const {
+  std::vector<PeerStatus> Result;
+  for (const Member &M : Members_.all())
+    Result.push_back({M, linkedTo(M.Name_)});
+  return Result;
+}
+
+} // namespace thymewall
--- a/src/news.cc
+++ b/src/news.cc
@@ -1,156 +1,18 @@
-#include "thymewall/news.h"
-
 #include "mechanism.h"
-#include "member-list.h"
-#include "peer-choice.h"
-
-#include <algorithm>
-#include <deque>
-#include <set>
+#include "news-impl.h"
 
 namespace thymewall {
 
+using detail::NewsLink;
+
 namespace {
 
-/// Members told of when a link opens, and with each heartbeat.
-constexpr std::size_t MembersAtOpening = 64;
-constexpr std::size_t MembersPerHeartbeat = 3;
-/// Heartbeats whose time of sending is remembered for a link.
-constexpr std::size_t SentTimesKept = 16;
 /// Peers that a start asks which upstreams have ended lately: all that ran
 /// before know the same, and one or two of three may have just started too.
 constexpr std::size_t AskedForEnded = 3;
 
-/// One connection to a peer.
-struct Link {
-  struct Sent {
-    std::uint64_t Sequence_;
-    MonoTime At_;
-  };
-
-  bool OpenedHere_ = false;
-  std::string Peer_; ///< Name, once a heartbeat came.
-  MonoTime SilentAt_{};
-  std::uint64_t Sequence_ = 0;
-  std::uint64_t LastHeard_ = 0;
-  std::deque<Sent> Sent_;
-  MonoTime AskedAt_{}; ///< When news was last asked for.
-  bool AskedEnded_ = false;
-
-  /// The time after which the peer must have sent a message with this echo.
-  MonoTime sentAt(std::uint64_t Echo) const {
-    for (const Sent &S : Sent_)
-      if (S.Sequence_ == Echo)
-        return S.At_;
-    return MonoTime{};
-  }
-};
-
 } // namespace
 
-class NewsExchange::Impl {
-public:
-  Impl(NewsOptions Options, NewsHooks Hooks)
-      : Options_(std::move(Options)), Hooks_(std::move(Hooks)),
-        Members_(Options_.Self_.Name_),
-        Score_(detail::readScore(Options_.Self_.Name_)) {}
-
-  void opened(MonoTime Now, LinkId Which, bool OpenedHere);
-  void closed(MonoTime Now, LinkId Which);
-  void connectFailed(MonoTime Now, const Endpoint &Control);
-  void received(MonoTime Now, LinkId Which, const NewsMessage &M);
-  bool readDone(MonoTime Now, const RoutingTablePtr &Routing,
-                const UpstreamBatch &Upstreams, MonoTime AsOf);
-  void readFailed() { Reading_ = false; }
-  void warn(MonoTime Now, const UpstreamWarning &M) { tell(Now, M, nullptr); }
-  void setLeaving(MonoTime Now);
-  void setSeeds(std::vector<Endpoint> Seeds) {
-    Options_.Seeds_ = std::move(Seeds);
-  }
-  void tick(MonoTime Now);
-  MonoTime readFrom() const;
-  Revision through() const { return List_.through(); }
-  MonoTime knownAsOf() const { return KnownAsOf_; }
-  std::size_t fleetSize() const {
-    return Links_.empty() ? 1 : Members_.size() + 1;
-  }
-  bool hallIsLost(MonoTime Now) const {
-    return Members_.hallIsLost(Now, Options_.Self_.DataHall_);
-  }
-  NewsCounters counters() const;
-  std::vector<PeerStatus> peers() const;
-
-private:
-  void take(MonoTime Now, LinkId Which, const PeerHeartbeat &M);
-  void take(MonoTime Now, LinkId Which, const NewsWanted &M);
-  void take(MonoTime Now, LinkId Which, const News &M);
-  void take(MonoTime Now, LinkId Which, const UpstreamWarning &M);
-  bool tell(MonoTime Now, const UpstreamWarning &M, const LinkId *From);
-  bool apply(MonoTime Now, const RoutingTablePtr &Routing,
-             const UpstreamBatch &Upstreams);
-  void takeClaim(MonoTime Now, const Link &L, const PeerHeartbeat &M);
-  void noteReader(std::uint64_t Score, MonoTime At, MonoTime Now);
-  void confirm(MonoTime Now, MonoTime AsOf);
-  void askIfBehind(MonoTime Now, LinkId Which, const PeerHeartbeat &M);
-  void closeSpare(LinkId Which, const std::string &Peer);
-  PeerHeartbeat heartbeat(MonoTime Now, std::size_t Members);
-  void beat(MonoTime Now, LinkId Which, Link &L, std::size_t Members);
-  void beatAll(MonoTime Now);
-  void keepLinks(MonoTime Now);
-  void closeUnwanted(const std::vector<Member> &Wanted);
-  void connect(const Endpoint &Control);
-  bool linkedTo(const std::string &Name) const;
-  std::uint32_t knownAgeMs(MonoTime Now) const {
-    return KnownAsOf_ == MonoTime{} ? PeerHeartbeat::NeverKnown
-                                    : detail::ageMs(KnownAsOf_, Now);
-  }
-  std::size_t readRank() const;
-
-  NewsOptions Options_;
-  NewsHooks Hooks_;
-  NewsCounters Counters_;
-  RoutingTablePtr Routing_;
-  UpstreamList List_;
-  std::map<LinkId, Link> Links_;
-  detail::MemberList Members_;
-  std::set<Endpoint> Connecting_;
-  std::map<UpstreamWarning, MonoTime> Told_; ///< Until when not told again.
-  std::uint64_t Score_;                      ///< Place in the order of readers.
-  std::uint64_t Reader_ = 0; ///< Place of the first one that reads.
-  MonoTime ReaderAt_{};      ///< Its last answer.
-  MonoTime KnownAsOf_{};
-  MonoTime ToldAsOf_{}; ///< `KnownAsOf_` when it was last told.
-  MonoTime NextBeat_{};
-  MonoTime AskAgainAt_{};
-  std::size_t EndedAnswers_ = 0; ///< Not more are asked for than are needed.
-  bool Reading_ = false; ///< Reads, and knows of no better one that does.
-  bool EverLinked_ = false;
-  bool Leaving_ = false;
-};
-
-void NewsExchange::Impl::opened(MonoTime Now, LinkId Which, bool OpenedHere) {
-  Link &L = Links_[Which];
-  L.OpenedHere_ = OpenedHere;
-  EverLinked_ = true;
-  L.SilentAt_ = Now + SilentAfter;
-  beat(Now, Which, L, MembersAtOpening);
-}
-
-void NewsExchange::Impl::closed(MonoTime Now, LinkId Which) {
-  auto Known = Links_.find(Which);
-  if (Known == Links_.end())
-    return;
-  std::string Peer = Known->second.Peer_;
-  Links_.erase(Known);
-  if (!linkedTo(Peer))
-    Members_.avoid(Peer, Now + AvoidFor);
-}
-
-void NewsExchange::Impl::connectFailed(MonoTime Now, const Endpoint &Control) {
-  Connecting_.erase(Control);
-  Members_.avoid(Control, Now + AvoidFor);
-}
-
 void NewsExchange::Impl::received(MonoTime Now, LinkId Which,
                                   const NewsMessage &M) {
   auto Known = Links_.find(Which);
@@ -164,7 +26,7 @@
                               const PeerHeartbeat &M) {
   if (M.Sender_.Name_ == Options_.Self_.Name_)
     return Hooks_.Close_(Which); // a seed that is this process itself
-  Link &L = Links_[Which];
+  NewsLink &L = Links_[Which];
   L.Peer_ = M.Sender_.Name_;
   L.LastHeard_ = M.Sequence_;
   Connecting_.erase(M.Sender_.Control_);
@@ -179,7 +41,7 @@
   closeSpare(Which, M.Sender_.Name_);
 }
 
-void NewsExchange::Impl::takeClaim(MonoTime Now, const Link &L,
+void NewsExchange::Impl::takeClaim(MonoTime Now, const NewsLink &L,
                                    const PeerHeartbeat &M) {
   if (M.KnownAgeMs_ == PeerHeartbeat::NeverKnown)
     return;
@@ -220,7 +82,7 @@
                                      const PeerHeartbeat &M) {
   Version Ours = Routing_ ? Routing_->Version_ : 0;
   bool Behind = Ours < M.Routing_ || List_.through() < M.Through_;
-  Link &L = Links_[Which];
+  NewsLink &L = Links_[Which];
   bool WantsEnded = EndedAnswers_ < AskedForEnded && !L.AskedEnded_ &&
                     detail::has(detail::Mechanism::EndedUpstreams);
   if ((!Behind && !WantsEnded) || Now < AskAgainAt_)
@@ -314,116 +176,6 @@
   return true;
 }
 
-void NewsExchange::Impl::setLeaving(MonoTime Now) {
-  Leaving_ = true;
-  beatAll(Now);
-}
-
-void NewsExchange::Impl::closeSpare(LinkId Which, const std::string &Peer) {
-  // Of two links between two balancers, the one that the later name opened
-  // goes.
-  auto Count =
-      std::count_if(Links_.begin(), Links_.end(), [&](const auto &Item) {
-        return Item.second.Peer_ == Peer;
-      });
-  if (Count < 2 || !Links_[Which].OpenedHere_ || Options_.Self_.Name_ < Peer)
-    return;
-  Hooks_.Close_(Which);
-}
-
-PeerHeartbeat NewsExchange::Impl::heartbeat(MonoTime Now, std::size_t Count) {
-  PeerHeartbeat M;
-  M.Sender_ = Options_.Self_;
-  M.Leaving_ = Leaving_;
-  M.Routing_ = Routing_ ? Routing_->Version_ : 0;
-  M.Through_ = List_.through();
-  M.KnownAgeMs_ = knownAgeMs(Now);
-  M.Reader_ = Reader_;
-  if (Now - ReaderAt_ < ReadAfter)
-    M.ReaderAgeMs_ = detail::ageMs(ReaderAt_, Now);
-  M.Members_ = Members_.inTurn(Now, Count);
-  return M;
-}
-
-void NewsExchange::Impl::beat(MonoTime Now, LinkId Which, Link &L,
-                              std::size_t Members) {
-  PeerHeartbeat M = heartbeat(Now, Members);
-  M.Sequence_ = ++L.Sequence_;
-  M.Echo_ = L.LastHeard_;
-  L.Sent_.push_back({M.Sequence_, Now});
-  if (L.Sent_.size() > SentTimesKept)
-    L.Sent_.pop_front();
-  ++Counters_.HeartbeatsSent_;
-  Hooks_.Send_(Which, M);
-}
-
-void NewsExchange::Impl::beatAll(MonoTime Now) {
-  ToldAsOf_ = KnownAsOf_;
-  NextBeat_ = Now + HeartbeatEvery;
-  for (auto &[Which, L] : Links_)
-    beat(Now, Which, L, MembersPerHeartbeat);
-}
-
-void NewsExchange::Impl::tick(MonoTime Now) {
-  std::vector<LinkId> Silent;
-  for (const auto &[Which, L] : Links_)
-    if (Now > L.SilentAt_)
-      Silent.push_back(Which);
-  for (LinkId Which : Silent) {
-    closed(Now, Which);
-    Hooks_.Close_(Which);
-  }
-  Members_.forgetSilent(Now);
-  for (auto Item = Told_.begin(); Item != Told_.end();)
-    Item = Now >= Item->second ? Told_.erase(Item) : std::next(Item);
-  if (Now >= NextBeat_)
-    beatAll(Now);
-  keepLinks(Now);
-}
-
-bool NewsExchange::Impl::linkedTo(const std::string &Name) const {
-  return std::any_of(Links_.begin(), Links_.end(), [&](const auto &Item) {
-    return Item.second.Peer_ == Name;
-  });
-}
-
-void NewsExchange::Impl::keepLinks(MonoTime Now) {
-  if (Leaving_)
-    return;
-  if (Links_.empty())
-    for (const Endpoint &Seed : Options_.Seeds_)
-      if (Seed != Options_.Self_.Control_)
-        connect(Seed);
-  std::vector<Member> Wanted =
-      detail::choosePeers(Members_.reachable(Now), Options_.Self_, OpenedLinks);
-  for (const Member &M : Wanted)
-    if (!linkedTo(M.Name_))
-      connect(M.Control_);
-  closeUnwanted(Wanted);
-}
-
-/// Closes links opened to others than the wanted peers, to seeds for example,
-/// once those are linked to: the number of links stays bounded everywhere.
-void NewsExchange::Impl::closeUnwanted(const std::vector<Member> &Wanted) {
-  auto IsWanted = [&](const std::string &Name) {
-    return std::any_of(Wanted.begin(), Wanted.end(),
-                       [&](const Member &M) { return M.Name_ == Name; });
-  };
-  if (Wanted.size() < OpenedLinks)
-    return;
-  for (const Member &M : Wanted)
-    if (!linkedTo(M.Name_))
-      return;
-  for (const auto &[Which, L] : Links_)
-    if (L.OpenedHere_ && !L.Peer_.empty() && !IsWanted(L.Peer_))
-      Hooks_.Close_(Which);
-}
-
-void NewsExchange::Impl::connect(const Endpoint &Control) {
-  if (Connecting_.insert(Control).second)
-    Hooks_.Connect_(Control);
-}
-
 std::size_t NewsExchange::Impl::readRank() const {
   return Members_.countIf(
       [&](const Member &M) { return detail::readScore(M.Name_) < Score_; });
@@ -447,13 +199,6 @@
   return Result;
 }
 
-std::vector<PeerStatus> NewsExchange::Impl::peers() const {
-  std::vector<PeerStatus> Result;
-  for (const Member &M : Members_.all())
-    Result.push_back({M, linkedTo(M.Name_)});
-  return Result;
-}
-
 NewsExchange::NewsExchange(NewsOptions Options, NewsHooks Hooks)
     : Impl_(std::make_unique<Impl>(std::move(Options), std::move(Hooks))) {}
 NewsExchange::~NewsExchange() = default;
--- /dev/null
+++ b/src/packet-process-news.cc
@@ -0,0 +1,100 @@
+#include "packet-process-impl.h"
+
+#include "clock.h"
+#include "thymewall/log.h"
+
+namespace thymewall::detail {
+
+/// Tells peers what they would else learn at the cost of requests of their own.
+void PacketProcess::Impl::onBelief(const Belief &B) {
+  logBelief(B);
+  using Kind = UpstreamWarning::Kind;
+  if (B.Kind_ == Belief::Kind::Dead)
+    News_.warn(monoNow(), {B.Upstream_, Kind::Dead});
+  if (B.Kind_ == Belief::Kind::Stalled)
+    News_.warn(monoNow(), {B.Upstream_, Kind::Stalled});
+}
+
+void PacketProcess::Impl::startCall(MonoTime Now) {
+  Reader_.known(News_.through());
+  std::optional<IntentCall> Call = Reader_.next(Now, News_.readFrom());
+  if (!Call)
+    return;
+  ++ServiceCalls_;
+  Call_(*Call, [this](const IntentAnswer &Answer) { onAnswer(Answer); });
+}
+
+void PacketProcess::Impl::onAnswer(const IntentAnswer &Answer) {
+  MonoTime Now = monoNow();
+  Reader_.answered(Now, Answer, News_.fleetSize());
+  bool Done = Answer.Outcome_ == IntentAnswer::Outcome::Done;
+  ServiceLog_.answered(Now, Answer);
+  if (!Done)
+    ++ServiceFailures_;
+  if (!Done)
+    News_.readFailed();
+  else if (!News_.readDone(Now, Answer.Routing_, Answer.Batch_,
+                           Reader_.completeAt()))
+    Reader_.listAgain();
+  review();
+}
+
+PeerLinkHooks PacketProcess::Impl::linkHooks() {
+  PeerLinkHooks Hooks;
+  Hooks.OnOpen_ = [this](LinkId Link, const std::string &Target) {
+    News_.opened(monoNow(), Link, !Target.empty());
+  };
+  Hooks.OnMessage_ = [this](LinkId Link, const std::string &Bytes) {
+    onPeerMessage(Link, Bytes);
+  };
+  Hooks.OnClose_ = [this](LinkId Link) { News_.closed(monoNow(), Link); };
+  Hooks.OnFailed_ = [this](const std::string &Target) {
+    News_.connectFailed(monoNow(), parseEndpoint(Target));
+  };
+  return Hooks;
+}
+
+void PacketProcess::Impl::onPeerMessage(LinkId Link, const std::string &Bytes) {
+  MonoTime Now = monoNow();
+  NewsMessage M;
+  ErrorKind Kind = decodeNews(Bytes, Now, M);
+  if (Kind == ErrorKind::None) {
+    News_.received(Now, Link, M);
+    return noteReady();
+  }
+  logState("peer_message_refused",
+           {{"reason", std::string(errorRow(Kind).Name_)}});
+  Links_.close(Link);
+}
+
+NewsHooks PacketProcess::Impl::newsHooks() {
+  NewsHooks Hooks;
+  Hooks.Send_ = [this](LinkId Link, const NewsMessage &M) {
+    Links_.send(Link, encodeNews(M, monoNow()));
+  };
+  Hooks.Connect_ = [this](const Endpoint &Control) {
+    Links_.connect(formatEndpoint(Control));
+  };
+  Hooks.Close_ = [this](LinkId Link) { Links_.close(Link); };
+  Hooks.OnRouting_ = [this](const RoutingTablePtr &Table) {
+    Routing_ = Table;
+    logRouting(*Table);
+    Core_.setRouting(monoNow(), Table);
+  };
+  Hooks.OnUpstreams_ = [this](const std::vector<UpstreamChange> &Changes,
+                              bool MayReturn) {
+    Core_.applyUpstreams(monoNow(), Changes, MayReturn);
+    if (ReadyTold_)
+      releaseHeld();
+  };
+  Hooks.OnWarning_ = [this](const UpstreamWarning &M) {
+    Core_.warned(monoNow(), M);
+  };
+  Hooks.OnConfirmed_ = [this](MonoTime AsOf) {
+    Core_.confirm(AsOf);
+    ServiceLog_.confirmed(AsOf);
+  };
+  return Hooks;
+}
+
+} // namespace thymewall::detail
--- /dev/null
+++ b/test/upstream-stall-test.cc
@@ -0,0 +1,160 @@
+// When silence of an upstream keeps new flows away from it, and when it must
+// not.
+#include "three-upstreams.h"
+
+#include <doctest/doctest.h>
+
+using namespace thymewall;
+using namespace thymewall::test;
+
+TEST_CASE("an upstream that takes requests and answers none gets no new flows "
+          "for a while") {
+  Balancer3 B;
+  B.answered(900); // what the service usually takes is known
+  std::uint64_t Up = B.request(1);
+  SUBCASE("once its first request waits for longer than any work takes") {
+    B.B_.tick(at(500ms));
+    CHECK(B.takesFlows(Up, 510ms));
+    B.B_.tick(at(750ms));
+    CHECK_FALSE(B.takesFlows(Up, 760ms));
+    CHECK(B.Resets_.empty());
+    CHECK(B.Checks_.empty());
+  }
+  SUBCASE("not if it has answered, by an acknowledgement") {
+    B.follow(60ms, 1, Up, 5000);
+    B.B_.tick(at(750ms));
+    CHECK(B.takesFlows(Up, 760ms));
+  }
+  SUBCASE("or by the end of the flow") {
+    B.finish(60ms, 1, Up, 1600);
+    B.B_.tick(at(750ms));
+    CHECK(B.takesFlows(Up, 760ms));
+  }
+  SUBCASE("nor if another of its flows was answered meanwhile") {
+    std::uint16_t Other = 2;
+    while (B.request(Other) != Up)
+      ++Other;
+    B.follow(400ms, Other, Up, 5000);
+    B.B_.tick(at(750ms));
+    CHECK(B.takesFlows(Up, 760ms));
+  }
+  SUBCASE("for longer each time, and the same request counts once") {
+    B.B_.tick(at(750ms));
+    for (auto Now = 1000ms; Now < 3000ms; Now += 250ms)
+      B.B_.tick(at(Now));
+    CHECK(B.takesFlows(Up, 3000ms));
+    B.follow(3010ms, 2, Up, 1000, 1, 100); // another request, unanswered too
+    for (auto Now = 3250ms; Now < 4000ms; Now += 250ms)
+      B.B_.tick(at(Now));
+    CHECK_FALSE(B.takesFlows(Up, 6500ms));
+  }
+  SUBCASE("nor after a sleep of this process") {
+    B.B_.tick(at(250ms));
+    B.B_.tick(at(5s));
+    CHECK(B.takesFlows(Up, 5s));
+  }
+}
+
+TEST_CASE(
+    "while callers are sent to other balancers, silence here says nothing") {
+  Balancer3 B;
+  B.answered(900);
+  std::uint64_t Up = B.request(1);
+  B.B_.setServing(false);
+  B.B_.tick(at(250ms));
+  B.B_.tick(at(750ms)); // the flow goes on at another balancer
+  CHECK(B.takesFlows(Up, 760ms));
+  // An opening that may have been answered at another balancer is sent to a
+  // second upstream, and the first one is not held to be silent.
+  std::uint64_t Opened = B.open(800ms, 2);
+  Packet P = packet(2);
+  P.Opens_ = true;
+  CHECK(std::holds_alternative<Forward>(B.B_.retryOpening(at(840ms), P)));
+  CHECK(B.takesFlows(Opened, 850ms));
+  CHECK(B.Checks_.empty());
+  // Nor does what began then count once callers come here again.
+  B.B_.setServing(true);
+  B.B_.tick(at(1000ms));
+  CHECK(B.takesFlows(Up, 1010ms));
+  B.follow(1100ms, 1, Up, 1000, 1, 100);
+  B.B_.tick(at(1250ms));
+  B.B_.tick(at(1750ms));
+  CHECK_FALSE(B.takesFlows(Up, 1760ms));
+}
+
+TEST_CASE("a service that is slow and well loses no upstream") {
+  SUBCASE("before its first answer nothing is known of it") {
+    Balancer3 B;
+    std::uint64_t Up = B.request(1);
+    for (auto Now = 250ms; Now < 5s; Now += 250ms)
+      B.B_.tick(at(Now));
+    CHECK(B.takesFlows(Up, 5s));
+  }
+  SUBCASE("then it is judged by what it usually takes") {
+    Balancer3 B;
+    B.answered(900, 1000ms);
+    std::uint64_t Up = B.request(1);
+    for (auto Now = 1250ms; Now < 7s; Now += 250ms)
+      B.B_.tick(at(Now));
+    CHECK(B.takesFlows(Up, 7s));
+    for (auto Now = 7250ms; Now < 9s; Now += 250ms)
+      B.B_.tick(at(Now));
+    CHECK_FALSE(B.takesFlows(Up, 9s));
+  }
+}
+
+TEST_CASE("openings that usually take long are not retried before that, and "
+          "cost no upstream its flows") {
+  Balancer3 B;
+  CHECK(B.B_.openingWait() == 40ms);
+  auto OpenIn = [&](std::chrono::milliseconds Begin, std::uint16_t Port,
+                    std::chrono::milliseconds After) {
+    std::uint64_t Up = B.open(Begin, Port);
+    B.follow(Begin + After, Port, Up, 1000);
+  };
+  for (std::uint16_t Port = 1; Port < 50; ++Port)
+    OpenIn(Port * 10ms, Port, 8ms);
+  CHECK(B.B_.openingWait() == 40ms);
+  for (std::uint16_t Port = 100; Port < 200; ++Port)
+    OpenIn(1s + Port * 10ms, Port, 45ms);
+  CHECK(B.B_.openingWait() > 120ms);
+  CHECK(B.B_.openingWait() <= 160ms);
+  // A copy that comes soon after a retry is no evidence against that one.
+  std::uint64_t First = B.open(4s, 300);
+  Packet P = packet(300);
+  P.Opens_ = true;
+  Verdict Retried = B.B_.retryOpening(at(4150ms), P);
+  REQUIRE(std::holds_alternative<Forward>(Retried));
+  std::uint64_t Second = raw(std::get<Forward>(Retried).Upstream_);
+  REQUIRE(First != Second);
+  B.open(4200ms, 300, 1);
+  CHECK(B.Checks_ == std::vector<std::uint64_t>{First});
+}
+
+TEST_CASE("a peer's warning of a stalled upstream keeps new flows away") {
+  Balancer3 B;
+  std::uint64_t Up = B.request(1);
+  UpstreamWarning Stalled{Incarnation{Up}, UpstreamWarning::Kind::Stalled};
+  SUBCASE("for a while") {
+    B.B_.warned(at(1000ms), Stalled);
+    CHECK_FALSE(B.takesFlows(Up, 2900ms));
+    CHECK(B.takesFlows(Up, 3100ms));
+  }
+  SUBCASE("however many peers see the same stall") {
+    for (auto Now = 1000ms; Now < 2900ms; Now += 100ms)
+      B.B_.warned(at(Now), Stalled);
+    CHECK(B.takesFlows(Up, 3100ms));
+  }
+  SUBCASE("longer when it stalls again after that") {
+    B.B_.warned(at(1000ms), Stalled);
+    B.B_.warned(at(3100ms), Stalled);
+    CHECK_FALSE(B.takesFlows(Up, 7000ms));
+    CHECK(B.takesFlows(Up, 7200ms));
+  }
+  SUBCASE("not if it has just answered here") {
+    B.follow(900ms, 1, Up, 5000);
+    B.B_.warned(at(1000ms), Stalled);
+    CHECK(B.takesFlows(Up, 1010ms));
+  }
+  CHECK(B.Resets_.empty());
+}
