While balancers come, an upstream is suspected by more silence than the rest shows

Cause: hosts that come back after a loss take most flows over in one moment. Change: heartbeats say how long their sender has been there (a start or a sleep); for 2.5 s after an arrival that a balancer hears of, unanswered requests, counted by flow, convict only beyond what chance explains given how many other upstreams are silent (SilenceEvidence, FalseShare .025), and never by one word of a peer. Else one request is enough, as before. The limit of a stall stands once. Dead upstreams have a bound on warnings of their own. The suspicions of a balancer have their own file.

--- a/include/thymewall/news-message.h
+++ b/include/thymewall/news-message.h
@@ -42,6 +42,9 @@
   /// had from the receiver: shows how old the message can be.
   std::uint64_t Sequence_ = 0;
   std::uint64_t Echo_ = 0;
+  /// Since the sender started, or last slept: it has just come when this is
+  /// short.
+  std::uint32_t PresentMs_ = 0;
   std::vector<Member> Members_;
 };
 
--- a/include/thymewall/news.h
+++ b/include/thymewall/news.h
@@ -34,6 +34,8 @@
   std::function<void(MonoTime AsOf)> OnConfirmed_;
   /// A peer warns of an upstream.
   std::function<void(const UpstreamWarning &)> OnWarning_;
+  /// A peer has come \p At, from a start or a sleep; may be left out.
+  std::function<void(MonoTime At)> OnArrival_;
 };
 
 struct NewsOptions {
@@ -88,10 +90,16 @@
   /// An answer to a request for news must come by then; else another is asked.
   static constexpr Micros AnswerWithin = std::chrono::milliseconds(300);
 
+  /// A peer that has been running for less has just come.
+  static constexpr Micros ArrivedWithin = std::chrono::milliseconds(3000);
+  /// Without a tick for so long this process has slept.
+  static constexpr Micros SleptFor = std::chrono::milliseconds(1250);
+
   /// A warning goes through the fleet once in this time.
   static constexpr Micros WarnAgainAfter = std::chrono::milliseconds(1000);
-  /// Different warnings in that time; more are not told: 6 links of 16 bytes
-  /// and TCP's headers make 40 KB, once a data hall of upstreams is lost.
+  /// Different warnings of each kind in that time; more are not told: 6 links
+  /// of 24 bytes and TCP's headers make 45 KB, once a data hall of upstreams is
+  /// lost. Silence when hosts come back doesn't crowd out the dead.
   static constexpr std::size_t MaxWarnings = 128;
 
   NewsExchange(NewsOptions Options, NewsHooks Hooks);
--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -70,7 +70,7 @@
     Lapsed,
     Gone,
     Ejected,
-    Stalled, ///< It takes requests and answers none.
+    Stalled, ///< It leaves more requests unanswered than chance explains.
     Checked, ///< It was suspected, and lives.
     Dead     ///< Its flows are given up.
   };
@@ -78,6 +78,9 @@
   Incarnation Upstream_{};
   Endpoint At_;
   Revision Revision_ = 0;
+  /// Unanswered requests that led to `Stalled`, and how many were needed.
+  std::size_t Unanswered_ = 0;
+  std::size_t Needed_ = 0;
 };
 using BeliefHook = std::function<void(const Belief &)>;
 
@@ -87,6 +90,8 @@
   Endpoint At_;
 };
 using CheckHook = std::function<void(const UpstreamCheck &)>;
+/// Evidence against an upstream that peers should have.
+using WarningHook = std::function<void(const UpstreamWarning &)>;
 /// What came of a check.
 enum class CheckResult : std::uint8_t {
   Connected, ///< Something accepts connections there.
@@ -146,6 +151,7 @@
   PacketDelayHook OnDelay_;
   CheckHook OnCheck_; ///< Without it no upstream is ever held to be dead.
   ResetHook OnReset_;
+  WarningHook OnWarning_;
   /// An unknown address is reset only if all that was published this long ago
   /// is known; from the time within which a routing table must be in force.
   Micros ResetWhenKnown_ = std::chrono::milliseconds(2500);
@@ -163,6 +169,10 @@
   /// away before it is gone: those that live are back within 2 s.
   static constexpr Micros LapseLimit = std::chrono::milliseconds(2000);
 
+  /// The fabric leads flows to a host 0.5 to 1 s after its start; what was
+  /// under way then is missed 0.6 s later, and counts for 2 s.
+  static constexpr Micros SettlesWithin = std::chrono::milliseconds(2500);
+
   explicit PacketBalancer(PacketBalancerOptions Options);
   PacketBalancer(PacketBalancer &&) noexcept;
   PacketBalancer &operator=(PacketBalancer &&) noexcept;
@@ -183,8 +193,9 @@
   void checked(MonoTime Now, Incarnation Upstream, CheckResult Result,
                MonoTime Began);
   /// A peer has evidence against an upstream. A dead one is checked here too,
-  /// at the next tick; a stalled one gets no new flows for a while, unless it
-  /// has just answered here.
+  /// at the next tick. One that left a peer's request unanswered gets no new
+  /// flows for a while, unless it has just answered here; while flows are moved
+  /// it takes more requests than chance explains, two at least.
   void warned(MonoTime Now, const UpstreamWarning &M);
   /// All that was published up to \p AsOf is known.
   void confirm(MonoTime AsOf);
@@ -192,6 +203,9 @@
   /// flow's next packet comes to another balancer, so that silence here says
   /// nothing of an upstream.
   void setServing(bool Serving);
+  /// A balancer has come \p At, so that the fabric leads flows from others to
+  /// it: silence within `SettlesWithin` may be theirs.
+  void arrived(MonoTime At);
   void tick(MonoTime Now);
   /// Changes `ResetWhenKnown_` and `FlowLimit_` of the options.
   void setLimits(Micros ResetWhenKnown, Micros FlowLimit);
@@ -217,6 +231,7 @@
   PacketBalancerBuilder &onDelay(PacketDelayHook Value);
   PacketBalancerBuilder &onCheck(CheckHook Value);
   PacketBalancerBuilder &onReset(ResetHook Value);
+  PacketBalancerBuilder &onWarning(WarningHook Value);
   PacketBalancerBuilder &resetWhenKnown(Micros Value);
   PacketBalancerBuilder &flowLimit(Micros Value);
   PacketBalancer build() const;
--- a/include/thymewall/upstream-warning.h
+++ b/include/thymewall/upstream-warning.h
@@ -11,16 +11,20 @@
 struct UpstreamWarning {
   enum class Kind : std::uint8_t {
     Dead,   ///< A check proved it to the balancer that tells.
-    Stalled ///< It takes requests and answers none.
+    Stalled ///< It has left a request unanswered.
   };
   Incarnation Upstream_{};
   Kind Kind_ = Kind::Dead;
+  /// The flow of the unanswered request: what tells one piece of evidence from
+  /// another. None for a dead one.
+  FlowId Flow_{};
 };
 inline bool operator==(const UpstreamWarning &A, const UpstreamWarning &B) {
-  return A.Upstream_ == B.Upstream_ && A.Kind_ == B.Kind_;
+  return A.Upstream_ == B.Upstream_ && A.Kind_ == B.Kind_ && A.Flow_ == B.Flow_;
 }
 inline bool operator<(const UpstreamWarning &A, const UpstreamWarning &B) {
-  return std::tie(A.Upstream_, A.Kind_) < std::tie(B.Upstream_, B.Kind_);
+  return std::tie(A.Upstream_, A.Kind_, A.Flow_) <
+         std::tie(B.Upstream_, B.Kind_, B.Flow_);
 }
 
 } // namespace thymewall
--- a/src/mechanism.h
+++ b/src/mechanism.h
@@ -26,6 +26,7 @@
   OpeningRetries,  ///< Unanswered openings go to another upstream.
   OpeningEjection, ///< Upstreams that answer no opening get no more.
   Stalls,          ///< Upstreams that answer no request get no more.
+  CommonSilence,   ///< Silence of all upstreams alike speaks against none.
   Checks,          ///< Silent upstreams are checked, and their flows reset.
   Warnings,        ///< Peers are told of dead and stalled upstreams.
   HeldPackets,     ///< Packets wait for what a start has to learn.
--- a/src/news-impl.h
+++ b/src/news-impl.h
@@ -93,6 +93,7 @@
   void take(MonoTime Now, LinkId Which, const News &M);
   void take(MonoTime Now, LinkId Which, const UpstreamWarning &M);
   bool tell(MonoTime Now, const UpstreamWarning &M, const LinkId *From);
+  void noteArrival(MonoTime Now, const PeerHeartbeat &M);
   bool apply(MonoTime Now, const RoutingTablePtr &Routing,
              const UpstreamBatch &Upstreams);
   void takeClaim(MonoTime Now, const detail::NewsLink &L,
@@ -125,10 +126,12 @@
   std::set<Endpoint> Connecting_;
   std::map<UpstreamWarning, MonoTime> Told_; ///< Until when not told again.
   std::uint64_t Score_;                      ///< Place in the order of readers.
-  std::uint64_t Reader_ = 0; ///< Place of the first one that reads.
-  MonoTime ReaderAt_{};      ///< Its last answer.
+  std::uint64_t Reader_ = 0;     ///< Place of the first one that reads.
+  MonoTime ReaderAt_{};          ///< Its last answer.
   MonoTime KnownAsOf_{};
   MonoTime ToldAsOf_{}; ///< `KnownAsOf_` when it was last told.
+  MonoTime LastTick_{};
+  MonoTime PresentSince_{}; ///< The start, or the end of the last sleep.
   MonoTime NextBeat_{};
   MonoTime AskAgainAt_{};
   std::size_t EndedAnswers_ = 0; ///< Not more are asked for than are needed.
--- a/src/news-links.cc
+++ b/src/news-links.cc
@@ -66,6 +66,7 @@
   M.Reader_ = Reader_;
   if (Now - ReaderAt_ < ReadAfter)
     M.ReaderAgeMs_ = detail::ageMs(ReaderAt_, Now);
+  M.PresentMs_ = detail::ageMs(PresentSince_, Now);
   M.Members_ = Members_.inTurn(Now, Count);
   return M;
 }
@@ -90,6 +91,9 @@
 }
 
 void NewsExchange::Impl::tick(MonoTime Now) {
+  if (Now - LastTick_ > SleptFor)
+    PresentSince_ = Now;
+  LastTick_ = Now;
   std::vector<LinkId> Silent;
   for (const auto &[Which, L] : Links_)
     if (Now > L.SilentAt_)
--- a/src/news-message.cc
+++ b/src/news-message.cc
@@ -24,9 +24,9 @@
   Json Members = Json::array();
   for (const Member &Other : M.Members_)
     Members.push_back(toJson(Other));
-  return {raw(Type::Heartbeat), toJson(M.Sender_), M.Leaving_, M.Routing_,
-          M.Through_,           M.KnownAgeMs_,     M.Reader_,  M.ReaderAgeMs_,
-          M.Sequence_,          M.Echo_,           Members};
+  return {raw(Type::Heartbeat), toJson(M.Sender_), M.Leaving_,   M.Routing_,
+          M.Through_,           M.KnownAgeMs_,     M.Reader_,    M.ReaderAgeMs_,
+          M.Sequence_,          M.Echo_,           M.PresentMs_, Members};
 }
 
 Json toJson(const NewsWanted &M, MonoTime) {
@@ -78,7 +78,8 @@
 }
 
 Json toJson(const UpstreamWarning &M, MonoTime) {
-  return Json::array({raw(Type::Warning), raw(M.Upstream_), raw(M.Kind_)});
+  return Json::array(
+      {raw(Type::Warning), raw(M.Upstream_), raw(M.Flow_), raw(M.Kind_)});
 }
 
 Endpoint endpointFrom(const Json &Value) {
@@ -104,7 +105,8 @@
   M.ReaderAgeMs_ = J.at(7).get<std::uint32_t>();
   M.Sequence_ = J.at(8).get<std::uint64_t>();
   M.Echo_ = J.at(9).get<std::uint64_t>();
-  for (const Json &Item : J.at(10))
+  M.PresentMs_ = J.at(10).get<std::uint32_t>();
+  for (const Json &Item : J.at(11))
     M.Members_.push_back(memberFrom(Item));
   return M;
 }
@@ -186,7 +188,8 @@
 NewsMessage warningFrom(const Json &J) {
   UpstreamWarning M;
   M.Upstream_ = static_cast<Incarnation>(J.at(1).get<std::uint64_t>());
-  auto Kind = J.at(2).get<std::uint8_t>();
+  M.Flow_ = static_cast<FlowId>(J.at(2).get<std::uint64_t>());
+  auto Kind = J.at(3).get<std::uint8_t>();
   if (Kind > raw(UpstreamWarning::Kind::Stalled))
     throw std::invalid_argument("unknown kind of warning");
   M.Kind_ = static_cast<UpstreamWarning::Kind>(Kind);
--- a/src/news.cc
+++ b/src/news.cc
@@ -1,6 +1,8 @@
 #include "mechanism.h"
 #include "news-impl.h"
 
+#include <algorithm>
+
 namespace thymewall {
 
 using detail::NewsLink;
@@ -36,11 +38,18 @@
     Members_.learn(Now, M.Sender_);
   for (const Member &Told : M.Members_)
     Members_.learn(Now, Told);
+  noteArrival(Now, M);
   takeClaim(Now, L, M);
   askIfBehind(Now, Which, M);
   closeSpare(Which, M.Sender_.Name_);
 }
 
+void NewsExchange::Impl::noteArrival(MonoTime Now, const PeerHeartbeat &M) {
+  Micros Present = std::chrono::milliseconds(M.PresentMs_);
+  if (Hooks_.OnArrival_ && Present < ArrivedWithin)
+    Hooks_.OnArrival_(Now - Present);
+}
+
 void NewsExchange::Impl::takeClaim(MonoTime Now, const NewsLink &L,
                                    const PeerHeartbeat &M) {
   if (M.KnownAgeMs_ == PeerHeartbeat::NeverKnown)
@@ -134,8 +143,12 @@
                               const LinkId *From) {
   auto Known = Told_.find(M);
   bool Repeated = Known != Told_.end() && Now < Known->second;
+  auto SameKind = [&M](const auto &Item) {
+    return Item.first.Kind_ == M.Kind_;
+  };
+  auto Told = std::count_if(Told_.begin(), Told_.end(), SameKind);
   if (!detail::has(detail::Mechanism::Warnings) || Repeated ||
-      Told_.size() >= MaxWarnings)
+      static_cast<std::size_t>(Told) >= MaxWarnings)
     return false;
   Told_[M] = Now + WarnAgainAfter;
   for (const auto &[Which, L] : Links_) {
--- a/src/packet-balancer-flows.cc
+++ b/src/packet-balancer-flows.cc
@@ -108,7 +108,7 @@
     return;
   Row->Sequence_ = P.Sequence_;
   setInProgress(*Row, true);
-  noteRequest(Index);
+  noteRequest(Index, Flow);
 }
 
 /// An opening went to two upstreams, and the caller took the other's answer.
--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -1,13 +1,15 @@
 /// \file
 /// Inside of `PacketBalancer`: packets (packet-balancer.cc), what is remembered
-/// of flows (packet-balancer-flows.cc) and what is believed of upstreams
-/// (packet-balancer-upstreams.cc).
+/// of flows (packet-balancer-flows.cc), which upstreams there are
+/// (packet-balancer-upstreams.cc) and which of them are suspected, stalled or
+/// dead (packet-balancer-evidence.cc).
 #ifndef THYMEWALL_SRC_PACKET_BALANCER_IMPL_H
 #define THYMEWALL_SRC_PACKET_BALANCER_IMPL_H
 
 #include "observed-delay.h"
 #include "packet-flow.h"
 #include "thymewall/packet-balancer.h"
+#include "thymewall/silence-evidence.h"
 
 #include <unordered_map>
 
@@ -42,6 +44,9 @@
   void warned(MonoTime Now, const UpstreamWarning &M);
   void confirm(MonoTime AsOf) { KnownAsOf_ = std::max(KnownAsOf_, AsOf); }
   void setServing(bool Serving) { Serving_ = Serving; }
+  void arrived(MonoTime At) {
+    UnsettledUntil_ = std::max(UnsettledUntil_, At + SettlesWithin);
+  }
   void tick(MonoTime Now);
   void setLimits(Micros ResetWhenKnown, Micros FlowLimit) {
     Options_.ResetWhenKnown_ = ResetWhenKnown;
@@ -53,6 +58,10 @@
   Micros openingWait() const;
 
 private:
+  struct WaitingRequest {
+    FlowId Flow_{};
+    MonoTime Since_{};
+  };
   /// What belongs to a row of the upstream table with the same index.
   struct Detail {
     ServiceId Service_{};
@@ -62,8 +71,8 @@
     MonoTime LapsedUntil_{}; ///< While it may come back.
     MonoTime ForgetAt_{};    ///< When a gone upstream's row is given back.
     MonoTime ProgressAt_{};  ///< Last sign of life in any of its flows.
-    /// The first request that was sent to it since its last answer; none: 0.
-    MonoTime WaitingSince_{};
+    /// Requests that were sent to it since its last answer.
+    std::vector<WaitingRequest> Waiting_;
     MonoTime AnswerAt_{};
     std::uint32_t Stalls_ = 0;   ///< In a row.
     bool CheckWanted_ = false;   ///< At the next tick: a peer found it dead.
@@ -114,11 +123,14 @@
   void suspect(std::uint32_t Index);
   void check(std::uint32_t Index);
   void checkDue();
-  void noteRequest(std::uint32_t Index);
+  void noteRequest(std::uint32_t Index, FlowId Flow);
   void noteAnswer(std::uint32_t Index);
   void noteStalls();
-  bool waitsTooLong(std::uint32_t Index) const;
-  void setStalled(std::uint32_t Index);
+  std::optional<Micros> stallLimit(std::uint32_t Index) const;
+  void noteUnanswered(std::uint32_t Index, FlowId Flow, bool SeenHere);
+  std::size_t neededAgainst(std::uint32_t Index, bool SeenHere) const;
+  void setStalled(std::uint32_t Index, std::size_t Unanswered,
+                  std::size_t Needed);
   std::uint32_t indexOf(Incarnation Which) const;
   void setAlive(std::uint32_t Index);
   void setDead(std::uint32_t Index);
@@ -146,9 +158,11 @@
   detail::PacketFlowTable Flows_;
   MonoTime Now_{};
   MonoTime KnownAsOf_{};
+  MonoTime UnsettledUntil_{}; ///< The fabric may be moving flows.
   MonoTime NextTickBy_ = MonoTime::max();
   bool ListKnown_ = false;
   bool Serving_ = true;
+  SilenceEvidence Evidence_;
   detail::ObservedDelay Openings_; ///< From opening to acknowledged answer.
 };
 
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -238,6 +238,7 @@
 }
 void PacketBalancer::confirm(MonoTime AsOf) { Impl_->confirm(AsOf); }
 void PacketBalancer::setServing(bool Serving) { Impl_->setServing(Serving); }
+void PacketBalancer::arrived(MonoTime At) { Impl_->arrived(At); }
 void PacketBalancer::tick(MonoTime Now) { Impl_->tick(Now); }
 void PacketBalancer::setLimits(Micros ResetWhenKnown, Micros FlowLimit) {
   Impl_->setLimits(ResetWhenKnown, FlowLimit);
@@ -283,6 +284,10 @@
   Options_.OnReset_ = std::move(Value);
   return *this;
 }
+PacketBalancerBuilder &PacketBalancerBuilder::onWarning(WarningHook Value) {
+  Options_.OnWarning_ = std::move(Value);
+  return *this;
+}
 PacketBalancer PacketBalancerBuilder::build() const {
   return PacketBalancer(Options_);
 }
--- a/src/packet-log.cc
+++ b/src/packet-log.cc
@@ -89,9 +89,14 @@
 }
 
 void logBelief(const Belief &B) {
-  logDecision(eventOf(B.Kind_), {{"upstream", formatIncarnation(B.Upstream_)},
-                                 {"address", formatEndpoint(B.At_)},
-                                 {"revision", B.Revision_}});
+  LogFields Fields = {{"upstream", formatIncarnation(B.Upstream_)},
+                      {"address", formatEndpoint(B.At_)},
+                      {"revision", B.Revision_}};
+  if (B.Kind_ == Belief::Kind::Stalled) {
+    Fields.emplace_back("unanswered", B.Unanswered_);
+    Fields.emplace_back("needed", B.Needed_);
+  }
+  logDecision(eventOf(B.Kind_), Fields);
 }
 
 void logReset(const ResetFlow &R) {
--- a/src/packet-process-impl.h
+++ b/src/packet-process-impl.h
@@ -50,7 +50,6 @@
   NewsHooks newsHooks();
   void onPeerMessage(LinkId Link, const std::string &Bytes);
   void sendReset(const ResetFlow &R);
-  void onBelief(const Belief &B);
   void onAnswer(const IntentAnswer &Answer);
   void review();
   void endWhenQuiet(MonoTime Now);
--- a/src/packet-process-news.cc
+++ b/src/packet-process-news.cc
@@ -5,16 +5,6 @@
 
 namespace thymewall::detail {
 
-/// Tells peers what they would else learn at the cost of requests of their own.
-void PacketProcess::Impl::onBelief(const Belief &B) {
-  logBelief(B);
-  using Kind = UpstreamWarning::Kind;
-  if (B.Kind_ == Belief::Kind::Dead)
-    News_.warn(monoNow(), {B.Upstream_, Kind::Dead});
-  if (B.Kind_ == Belief::Kind::Stalled)
-    News_.warn(monoNow(), {B.Upstream_, Kind::Stalled});
-}
-
 void PacketProcess::Impl::startCall(MonoTime Now) {
   Reader_.known(News_.through());
   std::optional<IntentCall> Call = Reader_.next(Now, News_.readFrom());
@@ -90,6 +80,7 @@
   Hooks.OnWarning_ = [this](const UpstreamWarning &M) {
     Core_.warned(monoNow(), M);
   };
+  Hooks.OnArrival_ = [this](MonoTime At) { Core_.arrived(At); };
   Hooks.OnConfirmed_ = [this](MonoTime AsOf) {
     Core_.confirm(AsOf);
     ServiceLog_.confirmed(AsOf);
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -28,17 +28,18 @@
   return Class == DelayClass::Open ? "open" : "request";
 }
 
-PacketBalancer makeCore(const PacketSettings &S, BeliefHook OnBelief,
-                        PacketDelayHook OnDelay, CheckHook OnCheck,
-                        ResetHook OnReset) {
+PacketBalancer makeCore(const PacketSettings &S, PacketDelayHook OnDelay,
+                        CheckHook OnCheck, ResetHook OnReset,
+                        WarningHook OnWarning) {
   return PacketBalancerBuilder()
       .resetWhenKnown(resetWhenKnown(S))
       .flowLimit(S.FlowLimit_)
       .onDecision(logDecisionOn)
-      .onBelief(std::move(OnBelief))
+      .onBelief(logBelief)
       .onDelay(std::move(OnDelay))
       .onCheck(std::move(OnCheck))
       .onReset(std::move(OnReset))
+      .onWarning(std::move(OnWarning))
       .build();
 }
 
@@ -53,12 +54,13 @@
                [this](const Endpoint &, const std::uint8_t *Data,
                       std::size_t Size) { onPacket(Data, Size); }),
       Core_(makeCore(
-          Settings_, [this](const Belief &B) { onBelief(B); },
+          Settings_,
           [this](ServiceId S, DelayClass C, Micros Delay) {
             Delays_.record(tenant(S), nameOf(C), Delay);
           },
           [this](const UpstreamCheck &Wanted) { Checker_.check(Wanted); },
-          [this](const ResetFlow &R) { sendReset(R); })),
+          [this](const ResetFlow &R) { sendReset(R); },
+          [this](const UpstreamWarning &M) { News_.warn(monoNow(), M); })),
       Openings_(Context,
                 [this](MonoTime Now, const std::uint8_t *Data,
                        std::size_t Size) { retryOpening(Now, Data, Size); }),
@@ -78,6 +80,7 @@
           }),
       Timer_(Context), Signals_(Context, SIGTERM, SIGINT, SIGHUP) {
   NextSettingsLook_ = monoNow() + SettingsLookEvery;
+  Core_.arrived(monoNow()); // others may come with it
   awaitSignal();
   serveMetrics();
   logState("started", {{"packets", formatEndpoint(Settings_.Packets_)},
--- a/test/news-fleet.cc
+++ b/test/news-fleet.cc
@@ -175,6 +175,10 @@
   Hooks.OnWarning_ = [this, Which](const UpstreamWarning &M) {
     Nodes_[Which].Warnings_.push_back(M);
   };
+  Hooks.OnArrival_ = [this, Which](MonoTime At) {
+    if (Beside_.OnArrival_)
+      Beside_.OnArrival_(Which, At);
+  };
   Hooks.OnConfirmed_ = [this, Which](MonoTime AsOf) {
     noteClaim(Which, AsOf);
     if (Beside_.OnConfirmed_)
--- a/test/news-fleet.h
+++ b/test/news-fleet.h
@@ -23,6 +23,7 @@
   std::function<void(std::size_t Which, const Upstreams &, bool MayReturn)>
       OnUpstreams_;
   std::function<void(std::size_t Which, MonoTime AsOf)> OnConfirmed_;
+  std::function<void(std::size_t Which, MonoTime At)> OnArrival_;
 };
 
 class NewsFleet {
--- /dev/null
+++ b/test/silence-fleet.cc
@@ -0,0 +1,186 @@
+#include "silence-fleet.h"
+
+namespace thymewall::test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const Endpoint ServiceAt = Endpoint::v4(0xc6120001, 8443);
+constexpr ServiceId Service{1};
+/// One way through the fleet's links.
+constexpr Micros WarningDelay = 20ms;
+/// From an opening to the caller's acknowledgement and request.
+constexpr Micros OpenDelay = 6ms;
+constexpr Micros WorkDelay = 45ms;
+
+UpstreamChange upstream(std::uint64_t Id) {
+  UpstreamEntry E;
+  E.Incarnation_ = Incarnation{Id};
+  E.Service_ = Service;
+  E.At_ = Endpoint::v4(static_cast<std::uint32_t>(Id), 9000);
+  return {E.Incarnation_, 1, E};
+}
+
+} // namespace
+
+SilenceFleet::SilenceFleet(std::size_t Hosts, std::size_t Upstreams,
+                           std::size_t RequestsPerSecond)
+    : Hosts_(Hosts), Upstreams_(Upstreams),
+      Between_(Micros(1s) / static_cast<long>(RequestsPerSecond)) {
+  for (std::size_t Which = 0; Which < Hosts; ++Which)
+    start(Which);
+  request();
+}
+
+void SilenceFleet::start(std::size_t Which) {
+  Host &H = Hosts_[Which];
+  auto OnBelief = [&H](const Belief &B) {
+    if (B.Kind_ == Belief::Kind::Stalled)
+      H.Suspected_.insert(raw(B.Upstream_));
+  };
+  auto OnWarning = [this, Which](const UpstreamWarning &M) { warn(Which, M); };
+  bool First = !H.Core_;
+  H.Core_ = std::make_unique<PacketBalancer>(
+      PacketBalancerBuilder().onBelief(OnBelief).onWarning(OnWarning).build());
+  auto Table = std::make_shared<RoutingTable>();
+  Table->Version_ = 1;
+  Table->Addresses_[ServiceAt] = {{Service, 1}};
+  H.Core_->setRouting(Now_, Table);
+  std::vector<UpstreamChange> All;
+  for (std::uint64_t Id = 1; Id <= Upstreams_; ++Id)
+    All.push_back(upstream(Id));
+  H.Core_->applyUpstreams(Now_, All);
+  if (First)
+    tick(Which);
+}
+
+void SilenceFleet::after(Micros Delay, std::function<void()> Do) {
+  Queue_.push({Now_ + Delay, ++Order_, std::move(Do)});
+}
+
+void SilenceFleet::run(Micros Until) {
+  MonoTime End = Start_ + Until;
+  while (!Queue_.empty() && Queue_.top().At_ <= End) {
+    Later Next = Queue_.top();
+    Queue_.pop();
+    Now_ = Next.At_;
+    Next.Do_();
+  }
+  Now_ = End;
+}
+
+void SilenceFleet::lose(std::size_t Count) {
+  for (std::size_t Which = Hosts_.size() - Count; Which < Hosts_.size();
+       ++Which)
+    Hosts_[Which].In_ = false;
+}
+
+void SilenceFleet::comeBack(Micros Within) {
+  for (std::size_t Which = 0; Which < Hosts_.size(); ++Which) {
+    if (Hosts_[Which].In_)
+      continue;
+    auto Share = static_cast<double>(hashPair(Which, 1) % 1000) / 1000;
+    after(std::chrono::duration_cast<Micros>(Within * Share), [=] {
+      start(Which);
+      Hosts_[Which].In_ = true;
+      linkAnew(Which);
+    });
+  }
+}
+
+/// A start opens some links, and only the peers of those hear of it.
+void SilenceFleet::linkAnew(std::size_t Which) {
+  Hosts_[Which].Core_->arrived(Now_);
+  for (std::uint64_t Link = 0; Link < 3; ++Link) {
+    Host &Peer = Hosts_[hashPair(Which, Link + 10) % Hosts_.size()];
+    if (Peer.In_)
+      Peer.Core_->arrived(Now_);
+  }
+}
+
+void SilenceFleet::tick(std::size_t Which) {
+  if (Hosts_[Which].In_)
+    Hosts_[Which].Core_->tick(Now_);
+  Micros Apart(static_cast<long>(hashPair(Which, 2) % 1000));
+  after(PacketBalancer::TickEvery + Apart, [=] { tick(Which); });
+}
+
+void SilenceFleet::warn(std::size_t From, const UpstreamWarning &M) {
+  after(WarningDelay, [=] {
+    for (std::size_t Which = 0; Which < Hosts_.size(); ++Which) {
+      Host &H = Hosts_[Which];
+      if (Which != From && H.In_ &&
+          H.Heard_.insert({raw(M.Upstream_), M.Flow_}).second)
+        H.Core_->warned(Now_, M);
+    }
+  });
+}
+
+/// Rendezvous: a host that comes or goes moves its own flows alone.
+PacketBalancer &SilenceFleet::picked(const Packet &P) {
+  std::uint64_t Flow =
+      P.Caller_.Port_ + std::uint64_t{65536} * P.Caller_.Address_[15];
+  std::size_t Best = Hosts_.size();
+  std::uint64_t BestScore = 0;
+  for (std::size_t Which = 0; Which < Hosts_.size(); ++Which) {
+    std::uint64_t Score = Hosts_[Which].In_ ? hashPair(Flow, Which) : 0;
+    if (Score >= BestScore && Hosts_[Which].In_) {
+      Best = Which;
+      BestScore = Score;
+    }
+  }
+  return *Hosts_[Best].Core_;
+}
+
+void SilenceFleet::request() {
+  after(Between_, [this] { request(); });
+  ++Requests_;
+  Packet P;
+  P.Caller_ = Endpoint::v4(0x64400000 + Requests_ / 60'000,
+                           static_cast<std::uint16_t>(1 + Requests_ % 60'000));
+  P.Service_ = ServiceAt;
+  Packet Opening = P;
+  Opening.Opens_ = true;
+  Verdict V = picked(P).steer(Now_, Opening);
+  const auto *F = std::get_if<Forward>(&V);
+  if (!F)
+    return;
+  P.Acknowledges_ = true;
+  P.Cookie_ = F->Cookie_;
+  after(OpenDelay, [this, P]() mutable {
+    P.Acknowledged_ = 1000;
+    picked(P).steer(Now_, P);
+    P.Sequence_ = 1;
+    P.DataSize_ = 100;
+    picked(P).steer(Now_, P);
+  });
+  bool Hangs = raw(F->Upstream_) <= Hanging_;
+  if (Hangs)
+    return;
+  after(OpenDelay + WorkDelay, [this, P]() mutable {
+    ++Served_;
+    P.Acknowledged_ = 5000;
+    picked(P).steer(Now_, P);
+  });
+}
+
+std::size_t SilenceFleet::suspected() const {
+  std::size_t Count = 0;
+  for (const Host &H : Hosts_)
+    for (std::uint64_t Id : H.Suspected_)
+      if (H.In_ && Id > Hanging_)
+        ++Count;
+  return Count;
+}
+
+std::size_t SilenceFleet::sickTaking() const {
+  std::size_t Count = 0;
+  for (const Host &H : Hosts_)
+    for (const SteeredUpstream &Up : H.Core_->status(Now_).Upstreams_)
+      if (H.In_ && raw(Up.Incarnation_) <= Hanging_ && Up.NotChosen_.empty())
+        ++Count;
+  return Count;
+}
+
+} // namespace thymewall::test
--- a/test/three-upstreams.h
+++ b/test/three-upstreams.h
@@ -41,6 +41,8 @@
                  Checks_.push_back(raw(C.Upstream_));
                })
                .onReset([this](const ResetFlow &R) { Resets_.push_back(R); })
+               .onWarning(
+                   [this](const UpstreamWarning &M) { Warnings_.push_back(M); })
                .build()) {
     auto Table = std::make_shared<RoutingTable>();
     Table->Version_ = 1;
@@ -112,6 +114,7 @@
   PacketBalancer B_;
   std::vector<std::uint64_t> Checks_;
   std::vector<ResetFlow> Resets_;
+  std::vector<UpstreamWarning> Warnings_;
 };
 
 } // namespace thymewall::test
--- a/test/upstream-stall-test.cc
+++ b/test/upstream-stall-test.cc
@@ -158,3 +158,77 @@
   }
   CHECK(B.Resets_.empty());
 }
+
+TEST_CASE("while the fabric moves flows, it takes two requests") {
+  Balancer3 B;
+  B.B_.arrived(at(900ms)); // until 3.4 s
+  std::uint64_t Up = B.request(1);
+  auto Unanswered = [Up](std::uint64_t Flow) {
+    return UpstreamWarning{Incarnation{Up}, UpstreamWarning::Kind::Stalled,
+                           FlowId{Flow}};
+  };
+  SUBCASE("not for one request, however often it is told of") {
+    B.B_.warned(at(990ms), Unanswered(7));
+    B.B_.warned(at(1000ms), Unanswered(7));
+    CHECK(B.takesFlows(Up, 1010ms));
+  }
+  SUBCASE("nor for two that are far apart") {
+    B.B_.warned(at(990ms), Unanswered(7));
+    B.B_.warned(at(3000ms), Unanswered(8));
+    CHECK(B.takesFlows(Up, 3010ms));
+  }
+  SUBCASE("one is enough again after that") {
+    B.B_.warned(at(3900ms), Unanswered(7));
+    CHECK_FALSE(B.takesFlows(Up, 3910ms));
+  }
+  SUBCASE("for a while, once there are two") {
+    B.B_.warned(at(990ms), Unanswered(7));
+    B.B_.warned(at(1000ms), Unanswered(8));
+    CHECK_FALSE(B.takesFlows(Up, 2900ms));
+    CHECK(B.takesFlows(Up, 3100ms));
+  }
+  SUBCASE("however many peers see the same stall") {
+    std::uint64_t Flow = 7;
+    B.B_.warned(at(990ms), Unanswered(Flow));
+    for (auto Now = 1000ms; Now < 2900ms; Now += 100ms)
+      B.B_.warned(at(Now), Unanswered(++Flow));
+    CHECK(B.takesFlows(Up, 3100ms));
+  }
+  SUBCASE("longer when it stalls again after that") {
+    B.B_.warned(at(990ms), Unanswered(7));
+    B.B_.warned(at(1000ms), Unanswered(8));
+    B.B_.warned(at(3090ms), Unanswered(9));
+    B.B_.warned(at(3100ms), Unanswered(10));
+    CHECK_FALSE(B.takesFlows(Up, 7000ms));
+    CHECK(B.takesFlows(Up, 7200ms));
+  }
+  SUBCASE("not if it has just answered here") {
+    B.follow(900ms, 1, Up, 5000);
+    B.B_.warned(at(990ms), Unanswered(7));
+    B.B_.warned(at(1000ms), Unanswered(8));
+    CHECK(B.takesFlows(Up, 1010ms));
+  }
+  SUBCASE("nor if it answers here between them") {
+    B.B_.warned(at(700ms), Unanswered(7));
+    B.follow(800ms, 1, Up, 5000);
+    B.B_.warned(at(1500ms), Unanswered(8));
+    CHECK(B.takesFlows(Up, 1510ms));
+  }
+  CHECK(B.Resets_.empty());
+}
+
+TEST_CASE("silence of one's own counts once for each flow, and peers hear of "
+          "each") {
+  Balancer3 B;
+  B.answered(900);
+  std::uint64_t Up = B.request(1);
+  B.follow(20ms, 2, Up, 1000, 1, 100);  // a flow that a peer opened
+  B.follow(200ms, 1, Up, 1000, 1, 100); // the first one's data, sent again
+  B.B_.tick(at(750ms));
+  std::size_t Told = 0;
+  for (const UpstreamWarning &M : B.Warnings_)
+    if (M.Upstream_ == Incarnation{Up})
+      ++Told;
+  CHECK(Told == 1); // then it is held to be stalled: no more is needed
+  CHECK_FALSE(B.takesFlows(Up, 760ms));
+}
