--- a/include/thymewall/intent-reader.h
+++ b/include/thymewall/intent-reader.h
@@ -60,6 +60,11 @@
   /// second. The stale list serves callers meanwhile.
   static constexpr Micros PeersTellWithin = std::chrono::milliseconds(100);
   static constexpr Micros PeersTellSpread = std::chrono::milliseconds(900);
+  /// Both are shorter where few upstreams are listed: some hosts that read a
+  /// short list each cost less than what its age costs callers.
+  static constexpr Micros PeersTellPerUpstream =
+      std::chrono::microseconds(1000);
+  static constexpr Micros SpreadPerUpstream = std::chrono::microseconds(1500);
   /// Pauses after failures double between these.
   static constexpr Micros FirstPause = std::chrono::milliseconds(150);
   static constexpr Micros LongestPause = std::chrono::milliseconds(1200);
@@ -88,6 +93,7 @@
 
 private:
   IntentCall::Kind nextKind() const;
+  Micros pauseForPeers(std::size_t Upstreams) const;
   Micros pauseAfter(MonoTime Now, const IntentAnswer &Answer,
                     std::size_t Fleet);
 
--- a/src/intent-reader.cc
+++ b/src/intent-reader.cc
@@ -73,6 +73,13 @@
   }
 }
 
+Micros IntentReader::pauseForPeers(std::size_t Upstreams) const {
+  auto Count = static_cast<Micros::rep>(Upstreams);
+  Micros Spread = std::min(PeersTellSpread, SpreadPerUpstream * Count);
+  return std::min(PeersTellWithin, PeersTellPerUpstream * Count) +
+         part(Spread, Spread_);
+}
+
 Micros IntentReader::pauseAfter(MonoTime Now, const IntentAnswer &Answer,
                                 std::size_t Fleet) {
   if (Answer.Outcome_ == IntentAnswer::Outcome::Done) {
@@ -82,7 +89,7 @@
     return bringsNews(Answer) || Early ? PauseAfterNews : Micros(0);
   }
   if (Answer.Outcome_ == IntentAnswer::Outcome::Stale)
-    return PeersTellWithin + part(PeersTellSpread, Spread_);
+    return pauseForPeers(Answer.Batch_.Changes_.size());
   if (Answer.Outcome_ == IntentAnswer::Outcome::HistoryGone)
     return Micros(0);
   Micros Pause = FailurePause_;
--- a/test/intent-reader-test.cc
+++ b/test/intent-reader-test.cc
@@ -26,6 +26,13 @@
   return Result;
 }
 
+/// A stale list of so many upstreams.
+IntentAnswer staleList(std::size_t Upstreams) {
+  IntentAnswer Result = answer(Outcome::Stale);
+  Result.Batch_.Changes_.resize(Upstreams);
+  return Result;
+}
+
 /// A reader that has read the whole list at time 0, through revision 5.
 IntentReader started() {
   IntentReader Reader(0);
@@ -134,7 +141,7 @@
     auto First = Reader.next(at(0ms), {});
     REQUIRE(First);
     CHECK(First->Kind_ == Kind::StaleList);
-    Reader.answered(at(4ms), answer(Outcome::Stale), 1);
+    Reader.answered(at(4ms), staleList(600), 1);
     MonoTime Due = Reader.dueAt({});
     CHECK(Due >= at(4ms) + IntentReader::PeersTellWithin);
     CHECK(Due <= at(4ms) + IntentReader::PeersTellWithin +
@@ -159,6 +166,19 @@
   }
 }
 
+TEST_CASE("the fewer upstreams, the sooner a start lists what is current") {
+  for (std::size_t Upstreams : {0U, 18U, 150U, 600U, 67000U}) {
+    IntentReader Reader(0.5);
+    REQUIRE(Reader.next(at(0ms), {}));
+    Reader.answered(at(4ms), staleList(Upstreams), 1);
+    Micros Pause = Reader.dueAt({}) - at(4ms);
+    CHECK(Pause <=
+          IntentReader::PeersTellWithin + IntentReader::PeersTellSpread / 2);
+    CHECK(Pause <= Upstreams * 2ms);
+    CHECK(Pause >= std::min<Micros>(Upstreams * 1ms, 250ms));
+  }
+}
+
 TEST_CASE("a service that has no stale lists is asked for a list") {
   for (Outcome What : {Outcome::Refused, Outcome::Failed}) {
     IntentReader Reader(0);
--- a/test/news-start-test.cc
+++ b/test/news-start-test.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// Publishes so many upstreams; stale lists lack them all.
+/// Publishes so many upstreams, which stale lists have from the next second on.
 void publishMany(NewsFleet &Fleet, std::uint64_t Count) {
   for (std::uint64_t I = 1; I <= Count; ++I) {
     UpstreamEntry E;
@@ -18,15 +18,16 @@
     E.At_ = Endpoint::v4(static_cast<std::uint32_t>(1000 + I), 9000);
     Fleet.publish(E.Incarnation_, E);
   }
-  Fleet.setStaleBy(10s);
+  Fleet.setStaleBy(1s);
 }
 
 /// A fleet that has lost everything it knew, and starts at 5 s.
 void startAnew(NewsFleet &Fleet) {
-  publishMany(Fleet, 30);
+  publishMany(Fleet, 600);
   for (std::size_t Which = 0; Which < Fleet.size(); ++Which)
     Fleet.kill(Which);
   Fleet.run(5s);
+  Fleet.publish(); // no stale list has it yet
   for (std::size_t Which = 0; Which < Fleet.size(); ++Which)
     Fleet.restart(Which);
 }
@@ -36,7 +37,7 @@
 TEST_CASE(
     "a start in a running fleet takes a stale list, and peers tell the rest") {
   NewsFleet Fleet(90, 5);
-  publishMany(Fleet, 30);
+  publishMany(Fleet, 600);
   Fleet.run(8s);
   std::size_t Reader = Fleet.lastReader();
   for (std::size_t Which = 10; Which < 30; ++Which)
@@ -65,7 +66,7 @@
   startAnew(Fleet);
   std::size_t Before = Fleet.calls();
   Fleet.run(5s + 600ms);
-  CHECK(Fleet.allKnow(35));
+  CHECK(Fleet.allKnow(606));
   CHECK(Fleet.calls() - Before <= 45);
   Fleet.run(7s);
   // The reader's two a second, and some that think for a moment they read.
@@ -109,5 +110,5 @@
   NewsFleet Fleet(1);
   startAnew(Fleet);
   Fleet.run(5s + 1100ms);
-  CHECK(Fleet.allKnow(35));
+  CHECK(Fleet.allKnow(606));
 }
