A line for the end of a start: knowledge is current

Cause: a start is ready by a stale list, with revision 0 in its `ready` line, and no line told when it knew what is current. Change: `knowledge_current` with the revision, once.

--- a/src/packet-process-impl.h
+++ b/src/packet-process-impl.h
@@ -42,6 +42,7 @@
   bool steer(MonoTime Now, const std::uint8_t *Data, std::size_t Size);
   void releaseHeld();
   void noteReady();
+  void noteCurrent();
   void retryOpening(MonoTime Now, const std::uint8_t *Data, std::size_t Size);
   void act(const Forward &F, const std::uint8_t *Data, std::size_t Size);
   void act(const ResetFlow &R, const std::uint8_t *Data, std::size_t Size);
@@ -95,6 +96,7 @@
   std::uint64_t ServiceCalls_ = 0;
   std::uint64_t ServiceFailures_ = 0;
   bool ReadyTold_ = false;
+  bool CurrentTold_ = false;
   bool HallLost_ = false; ///< Other data halls serve callers better.
   MonoTime StopFrom_ = MonoTime::max(); ///< Earliest end after a stop signal.
   MonoTime StopBy_ = MonoTime::max();
--- a/src/packet-process-news.cc
+++ b/src/packet-process-news.cc
@@ -60,6 +60,14 @@
   Links_.close(Link);
 }
 
+/// The end of a start: until then a stale list was all that was known.
+void PacketProcess::Impl::noteCurrent() {
+  if (CurrentTold_)
+    return;
+  CurrentTold_ = true;
+  logState("knowledge_current", {{"revision", News_.through()}});
+}
+
 NewsHooks PacketProcess::Impl::newsHooks() {
   NewsHooks Hooks;
   Hooks.Send_ = [this](LinkId Link, const NewsMessage &M) {
@@ -85,6 +93,7 @@
   };
   Hooks.OnArrival_ = [this](MonoTime At) { Core_.arrived(At); };
   Hooks.OnConfirmed_ = [this](MonoTime AsOf) {
+    noteCurrent();
     Core_.confirm(AsOf);
     ServiceLog_.confirmed(AsOf);
   };
