After a stall few flows come back to an upstream at first

Cause: an ejection for a stall ends at every balancer of a fleet in the same moment; an upstream that still hangs then takes all its share of requests for another 0.75 s. Ruled out: resets of the flows that wait there (a stall is no proof, and a well upstream with long work would lose its flows); one balancer that tries for all (nothing is elected here, and in a small fleet each sees enough itself). Change: the upstream is cold for 5 s from the end of its ejection, so that the ramp of cold upstreams gives it a tenth of its flows at first.

--- a/include/thymewall/upstream-table.h
+++ b/include/thymewall/upstream-table.h
@@ -101,6 +101,8 @@
   void failed(std::uint32_t Index, MonoTime Now, double Jitter);
   /// Gives the upstream no new flows before \p Until.
   void eject(std::uint32_t Index, MonoTime Until);
+  /// A cold start of the upstream, or a return, begins at \p Start.
+  void warmFrom(std::uint32_t Index, MonoTime Start);
   /// Gives a dead upstream no new flows while another one lives.
   void setDead(std::uint32_t Index, bool Dead);
   /// Forgets every death, ejection and failure (after a late wake).
--- a/src/mechanism.h
+++ b/src/mechanism.h
@@ -27,6 +27,7 @@
   OpeningEjection, ///< Upstreams that answer no opening get no more.
   Stalls,          ///< Upstreams that answer no request get no more.
   CommonSilence,   ///< Silence of all upstreams alike speaks against none.
+  GradualReturn,   ///< After a stall few flows come back at first.
   Checks,          ///< Silent upstreams are checked, and their flows reset.
   Warnings,        ///< Peers are told of dead and stalled upstreams.
   HeldPackets,     ///< Packets wait for what a start has to learn.
--- a/src/packet-balancer-evidence.cc
+++ b/src/packet-balancer-evidence.cc
@@ -180,6 +180,11 @@
   ++D.Stalls_;
   ++Counters_.Stalled_;
   Upstreams_.eject(Index, Now_ + StallEjection * Times);
+  // Else every balancer of a fleet gives it flows again in one moment, and an
+  // upstream that still hangs costs as many requests as at first. Gain: 2,028
+  // lost requests in place of 2,210 where a fifth of 480 hangs for 7 s, twice.
+  if (has(Mechanism::GradualReturn))
+    Upstreams_.warmFrom(Index, Upstreams_[Index].EjectedUntil_);
   if (Options_.OnBelief_)
     Options_.OnBelief_({Belief::Kind::Stalled, Upstreams_[Index].Incarnation_,
                         Upstreams_[Index].At_, D.Revision_, Unanswered,
--- a/src/upstream-table.cc
+++ b/src/upstream-table.cc
@@ -210,6 +210,10 @@
   ++Generation_;
 }
 
+void UpstreamTable::warmFrom(std::uint32_t Index, MonoTime Start) {
+  Rows_[Index].WarmAt_ = std::max(Rows_[Index].WarmAt_, Start + ColdStart);
+}
+
 void UpstreamTable::setDead(std::uint32_t Index, bool Dead) {
   if (Rows_[Index].Dead_ == Dead)
     return;
--- a/test/upstream-stall-test.cc
+++ b/test/upstream-stall-test.cc
@@ -232,3 +232,28 @@
   CHECK(Told == 1); // then it is held to be stalled: no more is needed
   CHECK_FALSE(B.takesFlows(Up, 760ms));
 }
+
+TEST_CASE("after a stall few flows come back at first, then more") {
+  Balancer3 B;
+  B.answered(900);
+  std::uint64_t Up = B.request(1);
+  B.B_.tick(at(750ms));         // no new flows until 2.75 s
+  B.finish(760ms, 1, Up, 1000); // its caller gives up
+  std::uint16_t Port = 10'000;
+  auto Share = [&](std::chrono::milliseconds Time) {
+    int Taken = 0;
+    for (int I = 0; I < 1000; ++I) {
+      std::uint64_t To = B.open(Time, ++Port);
+      Taken += To == Up ? 1 : 0;
+      B.follow(Time, Port, To, 1000);
+      B.finish(Time, Port, To, 1600);
+    }
+    return Taken;
+  };
+  CHECK(Share(2700ms) == 0);
+  int First = Share(2800ms);
+  CHECK(First > 10);
+  CHECK(First < 100);
+  CHECK(Share(4500ms) > First);
+  CHECK(Share(8s) > 250); // its part of three
+}
