After a failed call a large fleet takes turns

Ruled out: a later first call by place in the order of readers (of 295, when 95% of the hosts are lost, the first living one would read after 3.5 s in place of 2.3 s). Change: a balancer that knows something waits its turn at once: its place in a span as long as the fleet needs at 8 calls a second, 10 s at most. Starts, which know nothing, and fleets of up to 9 wait as before.

--- a/include/thymewall/intent-reader.h
+++ b/include/thymewall/intent-reader.h
@@ -71,6 +71,10 @@
   /// When many fail together the longest pause grows with their number, so that
   /// a whole fleet makes about this many calls a second.
   static constexpr std::size_t FailedCallsPerSecond = 8;
+  /// In a fleet that shares failures so, those that know something spread their
+  /// next calls over as long, at most this: the first to be served tells all.
+  /// The bound is for a few that reach no other.
+  static constexpr Micros LongestTurn = std::chrono::seconds(10);
 
   /// \p Spread in [0, 1) keeps processes that start together apart.
   explicit IntentReader(double Spread) : Spread_(Spread) {}
--- a/src/intent-reader.cc
+++ b/src/intent-reader.cc
@@ -95,7 +95,11 @@
   Micros Pause = FailurePause_;
   Micros Shared = std::chrono::seconds(Fleet) / FailedCallsPerSecond;
   FailurePause_ = std::min(2 * FailurePause_, std::max(LongestPause, Shared));
-  return part(Pause, 0.5 + Spread_ / 2);
+  Micros Own = part(Pause, 0.5 + Spread_ / 2);
+  bool OthersCall = Through_ != 0 && Shared > LongestPause;
+  return OthersCall
+             ? std::max(Own, part(std::min(Shared, LongestTurn), Spread_))
+             : Own;
 }
 
 } // namespace thymewall
--- a/test/intent-reader-test.cc
+++ b/test/intent-reader-test.cc
@@ -189,3 +189,17 @@
     CHECK(Next->Kind_ == Kind::List);
   }
 }
+
+TEST_CASE("a large fleet that knows something takes turns after a failure") {
+  auto PauseOf = [](double Spread, std::size_t Fleet) {
+    IntentReader Reader(Spread);
+    Reader.known(5);
+    REQUIRE(Reader.next(at(0ms), {}));
+    Reader.answered(at(0ms), answer(Outcome::Failed, 0), Fleet);
+    return Reader.dueAt({}) - at(0ms);
+  };
+  CHECK(PauseOf(0, 295) <= IntentReader::FirstPause);
+  CHECK(PauseOf(0.5, 295) == IntentReader::LongestTurn / 2);
+  CHECK(PauseOf(0.5, 40) == 2500ms); // 8 calls a second
+  CHECK(PauseOf(0.99, 9) <= IntentReader::FirstPause);
+}
--- a/test/news-start-test.cc
+++ b/test/news-start-test.cc
@@ -1,5 +1,5 @@
-// What starts cost the configuration service, and when they know what is
-// current.
+// What starts and outages cost the configuration service, and when a fleet
+// knows what is current.
 #include "news-fleet.h"
 
 #include <doctest/doctest.h>
@@ -112,3 +112,26 @@
   Fleet.run(5s + 1100ms);
   CHECK(Fleet.allKnow(606));
 }
+
+TEST_CASE("an outage costs a large fleet few calls, and its end is noticed") {
+  for (bool Silent : {true, false}) {
+    NewsFleet Fleet(90, 5);
+    Fleet.run(8s);
+    std::size_t Before = Fleet.calls();
+    auto SetAway = [&](bool Away) {
+      for (std::size_t Which = 0; Which < Fleet.size(); ++Which)
+        Silent ? Fleet.setSilent(Which, Away)
+               : Fleet.setTurnedAway(Which, Away);
+    };
+    SetAway(true);
+    Fleet.run(14s);
+    CAPTURE(Silent);
+    // One each, since none knows that others fail too, and then turns.
+    CHECK(Fleet.calls() - Before <= 2 * Fleet.size());
+    SetAway(false);
+    Fleet.run(14s + 1500ms); // a silent call lasts for a second
+    Revision R = Fleet.publish();
+    Fleet.run(17s);
+    CHECK(Fleet.allKnow(R));
+  }
+}
