--- a/src/packet-balancer-evidence.cc
+++ b/src/packet-balancer-evidence.cc
@@ -5,7 +5,6 @@
 
 namespace thymewall {
 
-using detail::cookieOf;
 using detail::has;
 using detail::Mechanism;
 using detail::PacketFlowRow;
@@ -30,8 +29,8 @@
 /// this many times.
 constexpr Micros StallEjection = std::chrono::milliseconds(2000);
 constexpr std::uint32_t LongestStall = 8;
-/// Peers' unanswered requests that it takes at least: what one balancer saw
-/// once must not be what all of them believe.
+/// While flows are moved it takes so many of peers' unanswered requests at
+/// least: what one balancer saw once must not be what all of them believe.
 constexpr std::size_t NeededOfPeers = 2;
 
 Micros recheckPause(std::uint32_t Rechecks) {
