--- /dev/null
+++ b/test/event-queue.h
@@ -0,0 +1,50 @@
+/// \file
+/// Virtual time of a test: what is due later, in the order of its time.
+#ifndef THYMEWALL_TEST_EVENT_QUEUE_H
+#define THYMEWALL_TEST_EVENT_QUEUE_H
+
+#include "thymewall/core.h"
+
+#include <functional>
+#include <queue>
+
+namespace thymewall::test {
+
+class EventQueue {
+public:
+  MonoTime now() const { return Now_; }
+  /// Does it \p Delay from now; of two at one time the first asked for first.
+  void after(Micros Delay, std::function<void()> Do) {
+    Queue_.push({Now_ + Delay, ++Order_, std::move(Do)});
+  }
+  /// Does what is due until \p Until, in virtual time from the start.
+  void run(Micros Until) {
+    MonoTime End = Start_ + Until;
+    while (!Queue_.empty() && Queue_.top().At_ <= End) {
+      Later Next = Queue_.top();
+      Queue_.pop();
+      Now_ = Next.At_;
+      Next.Do_();
+    }
+    Now_ = End;
+  }
+
+private:
+  struct Later {
+    MonoTime At_;
+    std::uint64_t Order_;
+    std::function<void()> Do_;
+    bool operator<(const Later &Other) const {
+      return std::tie(Other.At_, Other.Order_) < std::tie(At_, Order_);
+    }
+  };
+
+  std::priority_queue<Later> Queue_;
+  MonoTime Now_{std::chrono::seconds(100)};
+  MonoTime Start_ = Now_;
+  std::uint64_t Order_ = 0;
+};
+
+} // namespace thymewall::test
+
+#endif
--- a/test/news-fleet.cc
+++ b/test/news-fleet.cc
@@ -48,21 +48,6 @@
   tick(Which);
 }
 
-void NewsFleet::after(Micros Delay, std::function<void()> Do) {
-  Queue_.push({Now_ + Delay, ++Order_, std::move(Do)});
-}
-
-void NewsFleet::run(Micros Until) {
-  MonoTime End = Start_ + Until;
-  while (!Queue_.empty() && Queue_.top().At_ <= End) {
-    Later Next = Queue_.top();
-    Queue_.pop();
-    Now_ = Next.At_;
-    Next.Do_();
-  }
-  Now_ = End;
-}
-
 Revision NewsFleet::publish() {
   Revision R = Log_.size() + 1;
   Incarnation Which{(R + 1) / 2};
@@ -77,7 +62,7 @@
 Revision NewsFleet::publish(Incarnation Which,
                             const std::optional<UpstreamEntry> &Entry) {
   Log_.push_back({Which, Log_.size() + 1, Entry});
-  PublishedAt_.push_back(Now_);
+  PublishedAt_.push_back(Events_.now());
   return Log_.size();
 }
 
@@ -129,7 +114,7 @@
     }
     HeldUp_.erase(Pair);
     for (const auto &Do : HeldPackets_[Pair])
-      after(LinkDelay, Do);
+      Events_.after(LinkDelay, Do);
     HeldPackets_[Pair].clear();
   }
 }
@@ -138,7 +123,7 @@
   for (Node &N : Nodes_) {
     for (const auto &[Link, Peer] : N.Links_)
       N.SilentLinks_.insert(Link);
-    N.CallsSilentFrom_ = Now_;
+    N.CallsSilentFrom_ = Events_.now();
   }
 }
 
@@ -155,11 +140,11 @@
 NewsHooks NewsFleet::hooks(std::size_t Which) {
   NewsHooks Hooks;
   Hooks.Send_ = [this, Which](LinkId Link, const NewsMessage &M) {
-    deliver(Which, Link, encodeNews(M, Now_));
+    deliver(Which, Link, encodeNews(M, Events_.now()));
   };
   Hooks.Connect_ = [this, Which](const Endpoint &To) { connect(Which, To); };
   Hooks.Close_ = [this, Which](LinkId Link) {
-    after(LinkDelay, [this, Which, Link] { unlink(Which, Link); });
+    Events_.after(LinkDelay, [this, Which, Link] { unlink(Which, Link); });
   };
   Hooks.OnRouting_ = [this, Which](const RoutingTablePtr &Table) {
     Nodes_[Which].Routing_ = Table->Version_;
@@ -196,21 +181,22 @@
 void NewsFleet::connect(std::size_t From, const Endpoint &Control) {
   std::size_t To = Control.Address_[15] - 1U;
   std::uint64_t Life = Nodes_[From].Life_;
-  after(2 * LinkDelay, [this, From, To, Control, Life] {
+  Events_.after(2 * LinkDelay, [this, From, To, Control, Life] {
     Node &Here = Nodes_[From];
     if (!Here.Alive_ || Here.Life_ != Life)
       return;
     bool Reached = Nodes_[To].Alive_ && HeldUp_.count({From, To}) == 0;
     if (!Reached)
       return onNode(From, [this, From, Control] {
-        Nodes_[From].News_->connectFailed(Now_, Control);
+        Nodes_[From].News_->connectFailed(Events_.now(), Control);
       });
     auto Near = static_cast<LinkId>(++LastLink_);
     auto Far = static_cast<LinkId>(++LastLink_);
     Here.Links_[Near] = {To, Far};
     Nodes_[To].Links_[Far] = {From, Near};
-    onNode(From, [=] { Nodes_[From].News_->opened(Now_, Near, true); });
-    onNode(To, [=] { Nodes_[To].News_->opened(Now_, Far, false); });
+    onNode(From,
+           [=] { Nodes_[From].News_->opened(Events_.now(), Near, true); });
+    onNode(To, [=] { Nodes_[To].News_->opened(Events_.now(), Far, false); });
   });
 }
 
@@ -226,15 +212,15 @@
     onNode(To, [=] {
       NewsMessage M;
       bool Open = Nodes_[To].Links_.count(Far) != 0;
-      if (Open && decodeNews(Bytes, Now_, M) == ErrorKind::None)
-        Nodes_[To].News_->received(Now_, Far, M);
+      if (Open && decodeNews(Bytes, Events_.now(), M) == ErrorKind::None)
+        Nodes_[To].News_->received(Events_.now(), Far, M);
       review(To);
     });
   };
   if (HeldUp_.count({From, To}) != 0)
     HeldPackets_[{From, To}].push_back(Arrive);
   else
-    after(LinkDelay, Arrive);
+    Events_.after(LinkDelay, Arrive);
 }
 
 void NewsFleet::unlink(std::size_t Which, LinkId Link) {
@@ -244,12 +230,12 @@
   auto [Peer, Far] = Known->second;
   bool Silent = Nodes_[Which].SilentLinks_.count(Link) != 0;
   Nodes_[Which].Links_.erase(Known);
-  onNode(Which, [=] { Nodes_[Which].News_->closed(Now_, Link); });
+  onNode(Which, [=] { Nodes_[Which].News_->closed(Events_.now(), Link); });
   if (Silent)
     return; // the other end does not hear of it
   Nodes_[Peer].Links_.erase(Far);
   onNode(Peer, [this, Peer = Peer, Far = Far] {
-    Nodes_[Peer].News_->closed(Now_, Far);
+    Nodes_[Peer].News_->closed(Events_.now(), Far);
   });
 }
 
@@ -258,28 +244,28 @@
   onNode(Which, [=] {
     if (Nodes_[Which].Life_ != Life)
       return;
-    Nodes_[Which].News_->tick(Now_);
+    Nodes_[Which].News_->tick(Events_.now());
     if (Beside_.OnTick_)
       Beside_.OnTick_(Which);
     review(Which);
-    after(TickEvery, [=] { tick(Which); });
+    Events_.after(TickEvery, [=] { tick(Which); });
   });
 }
 
 void NewsFleet::review(std::size_t Which) {
   Node &N = Nodes_[Which];
   N.Reader_->known(N.News_->through());
-  auto Call = N.Reader_->next(Now_, N.News_->readFrom());
+  auto Call = N.Reader_->next(Events_.now(), N.News_->readFrom());
   if (Call) {
     ++(Call->Kind_ == IntentCall::Kind::StaleList ? StaleCalls_ : Calls_);
     LastReader_ = Which;
-    serve(Which, *Call, Now_);
+    serve(Which, *Call, Events_.now());
     return;
   }
   // A call that is due before the next tick.
   MonoTime Due = N.Reader_->dueAt(N.News_->readFrom());
-  if (Due > Now_ && Due < Now_ + TickEvery)
-    after(Due - Now_, [=, Life = N.Life_] {
+  if (Due > Events_.now() && Due < Events_.now() + TickEvery)
+    Events_.after(Due - Events_.now(), [=, Life = N.Life_] {
       if (Nodes_[Which].Life_ == Life)
         onNode(Which, [=] { review(Which); });
     });
@@ -289,7 +275,7 @@
                       MonoTime Began) {
   std::uint64_t Life = Nodes_[Which].Life_;
   auto Answer = [=](Micros Delay, const IntentAnswer &A) {
-    after(Delay, [=] {
+    Events_.after(Delay, [=] {
       if (Nodes_[Which].Life_ != Life)
         return;
       onNode(Which, [=] {
@@ -300,7 +286,7 @@
   };
   bool GoneSilent = Began < Nodes_[Which].CallsSilentFrom_;
   if (Nodes_[Which].Silent_ || GoneSilent)
-    return Answer(Call.GiveUpAt_ - Now_, {});
+    return Answer(Call.GiveUpAt_ - Events_.now(), {});
   if (Nodes_[Which].TurnedAway_ || ServiceDown_) {
     IntentAnswer Refused;
     Refused.Outcome_ = IntentAnswer::Outcome::Refused;
@@ -308,9 +294,9 @@
   }
   bool News =
       Call.Kind_ != IntentCall::Kind::Watch || Log_.size() > Call.After_;
-  if (News || Now_ >= Call.WaitUntil_)
+  if (News || Events_.now() >= Call.WaitUntil_)
     return Answer(ServiceDelay, answerNow(Call));
-  after(WatchLook, [=] {
+  Events_.after(WatchLook, [=] {
     if (Nodes_[Which].Alive_ && Nodes_[Which].Life_ == Life)
       serve(Which, Call, Began);
   });
@@ -324,7 +310,7 @@
   A.Batch_.Through_ = Log_.size();
   bool Stale = Call.Kind_ == IntentCall::Kind::StaleList;
   std::size_t End = Log_.size();
-  while (Stale && End > 0 && PublishedAt_[End - 1] > Now_ - StaleBy_)
+  while (Stale && End > 0 && PublishedAt_[End - 1] > Events_.now() - StaleBy_)
     --End;
   std::map<Incarnation, UpstreamChange> Last;
   for (std::size_t I = Call.After_; I < End; ++I)
@@ -345,12 +331,12 @@
 
 void NewsFleet::take(std::size_t Which, const IntentAnswer &A) {
   Node &N = Nodes_[Which];
-  N.Reader_->answered(Now_, A, N.News_->fleetSize());
+  N.Reader_->answered(Events_.now(), A, N.News_->fleetSize());
   if (A.Outcome_ == IntentAnswer::Outcome::Stale)
-    N.News_->readStale(Now_, A.Routing_, A.Batch_);
+    N.News_->readStale(Events_.now(), A.Routing_, A.Batch_);
   else if (A.Outcome_ != IntentAnswer::Outcome::Done)
     N.News_->readFailed();
-  else if (!N.News_->readDone(Now_, A.Routing_, A.Batch_,
+  else if (!N.News_->readDone(Events_.now(), A.Routing_, A.Batch_,
                               N.Reader_->completeAt()))
     N.Reader_->listAgain();
 }
--- a/test/news-fleet.h
+++ b/test/news-fleet.h
@@ -4,11 +4,11 @@
 #ifndef THYMEWALL_TEST_NEWS_FLEET_H
 #define THYMEWALL_TEST_NEWS_FLEET_H
 
+#include "event-queue.h"
 #include "thymewall/intent-reader.h"
 #include "thymewall/news.h"
 
 #include <map>
-#include <queue>
 #include <set>
 
 namespace thymewall::test {
@@ -32,7 +32,7 @@
                      MemberHooks Beside = {});
 
   /// Runs to \p Until, in virtual time from the start.
-  void run(Micros Until);
+  void run(Micros Until) { Events_.run(Until); }
   /// Publishes a change: an upstream comes, or goes again. Gives its revision.
   Revision publish();
   /// Publishes an upstream as it is now; without an entry it has ended.
@@ -60,7 +60,7 @@
   void kill(std::size_t Which);
   void restart(std::size_t Which);
 
-  Micros now() const { return Now_.time_since_epoch(); }
+  Micros now() const { return Events_.now().time_since_epoch(); }
   std::size_t size() const { return Nodes_.size(); }
   /// Calls but those for stale lists.
   std::size_t calls() const { return Calls_; }
@@ -69,7 +69,7 @@
   const std::vector<UpstreamWarning> &warnings(std::size_t Which) const {
     return Nodes_[Which].Warnings_;
   }
-  MonoTime clock() const { return Now_; }
+  MonoTime clock() const { return Events_.now(); }
   Version routing(std::size_t Which) const { return Nodes_[Which].Routing_; }
   bool returning(std::size_t Which) const { return Nodes_[Which].MayReturn_; }
   /// The member that made the last call.
@@ -97,18 +97,8 @@
     bool Silent_ = false;
     bool MayReturn_ = false;
   };
-  struct Later {
-    MonoTime At_;
-    std::uint64_t Order_;
-    std::function<void()> Do_;
-    bool operator<(const Later &Other) const {
-      return std::tie(Other.At_, Other.Order_) < std::tie(At_, Order_);
-    }
-  };
-
   Member member(std::size_t Which) const;
   void start(std::size_t Which);
-  void after(Micros Delay, std::function<void()> Do);
   /// Does it on behalf of a member: later if it sleeps, never if it restarts.
   void onNode(std::size_t Which, std::function<void()> Do);
   NewsHooks hooks(std::size_t Which);
@@ -123,7 +113,7 @@
   void noteClaim(std::size_t Which, MonoTime AsOf);
 
   std::vector<Node> Nodes_;
-  std::priority_queue<Later> Queue_;
+  EventQueue Events_;
   std::set<std::pair<std::size_t, std::size_t>> HeldUp_;
   std::map<std::pair<std::size_t, std::size_t>,
            std::vector<std::function<void()>>>
@@ -134,9 +124,6 @@
   Revision RoutingAt_ = 0;
   std::size_t Halls_;
   MemberHooks Beside_;
-  MonoTime Now_{std::chrono::seconds(100)};
-  MonoTime Start_ = Now_;
-  std::uint64_t Order_ = 0;
   std::uint64_t LastLink_ = 0;
   std::size_t Calls_ = 0;
   std::size_t LastReader_ = 0;
--- a/test/silence-fleet.cc
+++ b/test/silence-fleet.cc
@@ -46,30 +46,15 @@
   auto Table = std::make_shared<RoutingTable>();
   Table->Version_ = 1;
   Table->Addresses_[ServiceAt] = {{Service, 1}};
-  H.Core_->setRouting(Now_, Table);
+  H.Core_->setRouting(Events_.now(), Table);
   std::vector<UpstreamChange> All;
   for (std::uint64_t Id = 1; Id <= Upstreams_; ++Id)
     All.push_back(upstream(Id));
-  H.Core_->applyUpstreams(Now_, All);
+  H.Core_->applyUpstreams(Events_.now(), All);
   if (First)
     tick(Which);
 }
 
-void SilenceFleet::after(Micros Delay, std::function<void()> Do) {
-  Queue_.push({Now_ + Delay, ++Order_, std::move(Do)});
-}
-
-void SilenceFleet::run(Micros Until) {
-  MonoTime End = Start_ + Until;
-  while (!Queue_.empty() && Queue_.top().At_ <= End) {
-    Later Next = Queue_.top();
-    Queue_.pop();
-    Now_ = Next.At_;
-    Next.Do_();
-  }
-  Now_ = End;
-}
-
 void SilenceFleet::lose(std::size_t Count) {
   for (std::size_t Which = Hosts_.size() - Count; Which < Hosts_.size();
        ++Which)
@@ -81,7 +66,7 @@
     if (Hosts_[Which].In_)
       continue;
     auto Share = static_cast<double>(hashPair(Which, 1) % 1000) / 1000;
-    after(std::chrono::duration_cast<Micros>(Within * Share), [=] {
+    Events_.after(std::chrono::duration_cast<Micros>(Within * Share), [=] {
       start(Which);
       Hosts_[Which].In_ = true;
       linkAnew(Which);
@@ -91,28 +76,28 @@
 
 /// A start opens some links, and only the peers of those hear of it.
 void SilenceFleet::linkAnew(std::size_t Which) {
-  Hosts_[Which].Core_->arrived(Now_);
+  Hosts_[Which].Core_->arrived(Events_.now());
   for (std::uint64_t Link = 0; Link < 3; ++Link) {
     Host &Peer = Hosts_[hashPair(Which, Link + 10) % Hosts_.size()];
     if (Peer.In_)
-      Peer.Core_->arrived(Now_);
+      Peer.Core_->arrived(Events_.now());
   }
 }
 
 void SilenceFleet::tick(std::size_t Which) {
   if (Hosts_[Which].In_)
-    Hosts_[Which].Core_->tick(Now_);
+    Hosts_[Which].Core_->tick(Events_.now());
   Micros Apart(static_cast<long>(hashPair(Which, 2) % 1000));
-  after(PacketBalancer::TickEvery + Apart, [=] { tick(Which); });
+  Events_.after(PacketBalancer::TickEvery + Apart, [=] { tick(Which); });
 }
 
 void SilenceFleet::warn(std::size_t From, const UpstreamWarning &M) {
-  after(WarningDelay, [=] {
+  Events_.after(WarningDelay, [=] {
     for (std::size_t Which = 0; Which < Hosts_.size(); ++Which) {
       Host &H = Hosts_[Which];
       if (Which != From && H.In_ &&
           H.Heard_.insert({raw(M.Upstream_), M.Flow_}).second)
-        H.Core_->warned(Now_, M);
+        H.Core_->warned(Events_.now(), M);
     }
   });
 }
@@ -134,7 +119,7 @@
 }
 
 void SilenceFleet::request() {
-  after(Between_, [this] { request(); });
+  Events_.after(Between_, [this] { request(); });
   ++Requests_;
   Packet P;
   P.Caller_ = Endpoint::v4(0x64400000 + Requests_ / 60'000,
@@ -142,26 +127,26 @@
   P.Service_ = ServiceAt;
   Packet Opening = P;
   Opening.Opens_ = true;
-  Verdict V = picked(P).steer(Now_, Opening);
+  Verdict V = picked(P).steer(Events_.now(), Opening);
   const auto *F = std::get_if<Forward>(&V);
   if (!F)
     return;
   P.Acknowledges_ = true;
   P.Cookie_ = F->Cookie_;
-  after(OpenDelay, [this, P]() mutable {
+  Events_.after(OpenDelay, [this, P]() mutable {
     P.Acknowledged_ = 1000;
-    picked(P).steer(Now_, P);
+    picked(P).steer(Events_.now(), P);
     P.Sequence_ = 1;
     P.DataSize_ = 100;
-    picked(P).steer(Now_, P);
+    picked(P).steer(Events_.now(), P);
   });
   bool Hangs = raw(F->Upstream_) <= Hanging_;
   if (Hangs)
     return;
-  after(OpenDelay + WorkDelay, [this, P]() mutable {
+  Events_.after(OpenDelay + WorkDelay, [this, P]() mutable {
     ++Served_;
     P.Acknowledged_ = 5000;
-    picked(P).steer(Now_, P);
+    picked(P).steer(Events_.now(), P);
   });
 }
 
@@ -177,7 +162,7 @@
 std::size_t SilenceFleet::sickTaking() const {
   std::size_t Count = 0;
   for (const Host &H : Hosts_)
-    for (const SteeredUpstream &Up : H.Core_->status(Now_).Upstreams_)
+    for (const SteeredUpstream &Up : H.Core_->status(Events_.now()).Upstreams_)
       if (H.In_ && raw(Up.Incarnation_) <= Hanging_ && Up.NotChosen_.empty())
         ++Count;
   return Count;
--- a/test/silence-fleet.h
+++ b/test/silence-fleet.h
@@ -6,9 +6,9 @@
 #ifndef THYMEWALL_TEST_SILENCE_FLEET_H
 #define THYMEWALL_TEST_SILENCE_FLEET_H
 
+#include "event-queue.h"
 #include "thymewall/packet-balancer.h"
 
-#include <queue>
 #include <set>
 
 namespace thymewall::test {
@@ -19,7 +19,7 @@
                std::size_t RequestsPerSecond);
 
   /// Runs to \p Until, in virtual time from the start.
-  void run(Micros Until);
+  void run(Micros Until) { Events_.run(Until); }
   /// The last hosts are lost; the fabric has left them already.
   void lose(std::size_t Count);
   /// Those start again, and flows return to them, spread over \p Within.
@@ -42,17 +42,7 @@
     std::set<std::pair<std::uint64_t, FlowId>> Heard_;
     bool In_ = true;
   };
-  struct Later {
-    MonoTime At_;
-    std::uint64_t Order_;
-    std::function<void()> Do_;
-    bool operator<(const Later &Other) const {
-      return std::tie(Other.At_, Other.Order_) < std::tie(At_, Order_);
-    }
-  };
-
   void start(std::size_t Which);
-  void after(Micros Delay, std::function<void()> Do);
   void linkAnew(std::size_t Which);
   void tick(std::size_t Which);
   void warn(std::size_t From, const UpstreamWarning &M);
@@ -67,10 +57,7 @@
   std::size_t Hanging_ = 0;
   std::size_t Requests_ = 0;
   std::size_t Served_ = 0;
-  std::uint64_t Order_ = 0;
-  std::priority_queue<Later> Queue_;
-  MonoTime Now_{std::chrono::seconds(100)};
-  MonoTime Start_ = Now_;
+  EventQueue Events_;
 };
 
 } // namespace thymewall::test
