--- a/src/intent-reader.cc
+++ b/src/intent-reader.cc
@@ -73,7 +73,11 @@
   }
 }
 
+/// An empty list says nothing of how long the current one is: all start before
+/// any upstream does.
 Micros IntentReader::pauseForPeers(std::size_t Upstreams) const {
+  if (Upstreams == 0)
+    return PeersTellWithin + part(PeersTellSpread, Spread_);
   auto Count = static_cast<Micros::rep>(Upstreams);
   Micros Spread = std::min(PeersTellSpread, SpreadPerUpstream * Count);
   return std::min(PeersTellWithin, PeersTellPerUpstream * Count) +
