Evacuated data halls are an intent of their own

Weighed: the evacuation as one more upstream entry (the issue's trial; it makes news and the table hold rows that are no upstreams), marks of halls that were taken back (not needed: who tells of one as of a revision that is complete here tells of the past), a part of the routing table (that is ordered by its own version, which an evacuation does not raise). Change: EvacuationList, complete through a revision; the adapter decodes the items; every news names all evacuated halls; candidates leave their upstreams out before ejections and deaths are counted, so that 'all are dead, all are taken' can't reach them; if all others are dead callers are reset at once (all_evacuated), on recent knowledge only. Open flows stay. Declarations gain evacuated_data_halls, with check, explain and diff.

--- a/include/thymewall/core.h
+++ b/include/thymewall/core.h
@@ -82,6 +82,8 @@
 enum class Incarnation : std::uint64_t {};
 /// The version number of a declaration; larger is newer, 0 is none.
 using Version = std::uint64_t;
+/// Counts the changes of everything that is published; larger is newer.
+using Revision = std::uint64_t;
 
 template <typename T> constexpr auto raw(T Value) {
   return static_cast<std::underlying_type_t<T>>(Value);
@@ -122,6 +124,7 @@
   UnknownCookie,
   NoneLeft,
   UpstreamDead,
+  AllEvacuated,
   Count
 };
 
--- a/include/thymewall/declaration.h
+++ b/include/thymewall/declaration.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace thymewall {
@@ -91,6 +92,8 @@
   std::vector<Upstream> Upstreams_;
   std::vector<BalancerEntry> Balancers_;
   std::vector<Selector> Selectors_;
+  /// Nothing new is sent to the upstreams of these data halls.
+  std::set<std::string> EvacuatedHalls_;
 
   const Service *service(ServiceId Id) const;
 };
@@ -115,7 +118,8 @@
                                   const ZoneClock &Zones, WallTime When);
 
 /// Looks through the week from \p From, minute by minute, for services without
-/// an upstream and upstreams that serve two services.
+/// an upstream and upstreams that serve two services; and for evacuated data
+/// halls that the declaration does not name elsewhere.
 Problems checkWeek(const Declaration &D, const std::string &File,
                    const ZoneClock &Zones, WallTime From);
 
--- a/include/thymewall/intent-reader.h
+++ b/include/thymewall/intent-reader.h
@@ -5,6 +5,7 @@
 #ifndef THYMEWALL_INTENT_READER_H
 #define THYMEWALL_INTENT_READER_H
 
+#include "thymewall/evacuation.h"
 #include "thymewall/routing.h"
 #include "thymewall/upstream-list.h"
 
@@ -40,6 +41,7 @@
   std::string Reason_;      ///< Why it was not done, for logs.
   RoutingTablePtr Routing_; ///< Null when it has not changed.
   UpstreamBatch Batch_;
+  EvacuationBatch Evacuations_;
 };
 
 /// Decides when this process reads the configuration service.
--- a/include/thymewall/news-message.h
+++ b/include/thymewall/news-message.h
@@ -4,6 +4,7 @@
 #ifndef THYMEWALL_NEWS_MESSAGE_H
 #define THYMEWALL_NEWS_MESSAGE_H
 
+#include "thymewall/evacuation.h"
 #include "thymewall/routing.h"
 #include "thymewall/upstream-list.h"
 #include "thymewall/upstream-warning.h"
@@ -60,6 +61,7 @@
 struct News {
   RoutingTablePtr Routing_; ///< Null when the receiver has it.
   UpstreamBatch Upstreams_;
+  EvacuationBatch Evacuations_; ///< Always whole.
   /// As in a heartbeat.
   std::uint32_t KnownAgeMs_ = PeerHeartbeat::NeverKnown;
 };
--- a/include/thymewall/news.h
+++ b/include/thymewall/news.h
@@ -9,6 +9,7 @@
 #ifndef THYMEWALL_NEWS_H
 #define THYMEWALL_NEWS_H
 
+#include "thymewall/intent-reader.h"
 #include "thymewall/news-message.h"
 
 #include <functional>
@@ -30,6 +31,8 @@
   /// configuration service for a while, so missing ones may come back.
   std::function<void(const std::vector<UpstreamChange> &, bool MayReturn)>
       OnUpstreams_;
+  /// Data halls are evacuated or taken back.
+  std::function<void(const std::vector<EvacuationChange> &)> OnEvacuations_;
   /// Everything that was published up to \p AsOf is known.
   std::function<void(MonoTime AsOf)> OnConfirmed_;
   /// A peer warns of an upstream.
@@ -111,15 +114,12 @@
   /// A connection that was asked for has failed.
   void connectFailed(MonoTime Now, const Endpoint &Control);
   void received(MonoTime Now, LinkId Link, const NewsMessage &M);
-  /// The configuration service was read: \p Upstreams and \p Routing (null if
-  /// unchanged) were complete at \p AsOf. False when changes are missing, so
-  /// that the whole list is needed.
-  bool readDone(MonoTime Now, const RoutingTablePtr &Routing,
-                const UpstreamBatch &Upstreams, MonoTime AsOf);
+  /// The configuration service was read; what it answered was complete at
+  /// \p AsOf. False when changes are missing, so that the whole list is needed.
+  bool readDone(MonoTime Now, const IntentAnswer &Answer, MonoTime AsOf);
   /// A stale list was read: callers can be served by it, but peers or a list
   /// have yet to tell what is current.
-  void readStale(MonoTime Now, const RoutingTablePtr &Routing,
-                 const UpstreamBatch &Upstreams);
+  void readStale(MonoTime Now, const IntentAnswer &Answer);
   /// A call of the configuration service was not served: another may take over.
   void readFailed();
   /// This balancer has evidence against an upstream: tells the fleet.
--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -12,6 +12,7 @@
 #ifndef THYMEWALL_PACKET_BALANCER_H
 #define THYMEWALL_PACKET_BALANCER_H
 
+#include "thymewall/evacuation.h"
 #include "thymewall/packet.h"
 #include "thymewall/routing.h"
 #include "thymewall/upstream-list.h"
@@ -140,6 +141,7 @@
   MonoTime KnownAsOf_{};
   std::size_t Flows_ = 0;
   std::size_t MemoryBytes_ = 0;
+  std::vector<std::string> EvacuatedHalls_;
   std::vector<SteeredUpstream> Upstreams_;
 };
 
@@ -189,6 +191,10 @@
   /// missing count as gone only after `LapseLimit`.
   void applyUpstreams(MonoTime Now, const std::vector<UpstreamChange> &Changes,
                       bool MayReturn = false);
+  /// From now on an evacuated hall gets no opening, nor a copy or a retry of
+  /// one; open flows stay where they are.
+  void applyEvacuations(MonoTime Now,
+                        const std::vector<EvacuationChange> &Changes);
   /// The answer to a check that began at \p Began.
   void checked(MonoTime Now, Incarnation Upstream, CheckResult Result,
                MonoTime Began);
--- a/include/thymewall/upstream-list.h
+++ b/include/thymewall/upstream-list.h
@@ -13,9 +13,6 @@
 
 namespace thymewall {
 
-/// Counts the changes of everything that is published; larger is newer.
-using Revision = std::uint64_t;
-
 /// An upstream as it is published. `Incarnation_` is new with every start.
 struct UpstreamEntry {
   Incarnation Incarnation_{};
--- a/include/thymewall/upstream-table.h
+++ b/include/thymewall/upstream-table.h
@@ -27,8 +27,9 @@
   MonoTime EjectedUntil_{};
   MonoTime WarmAt_{}; ///< End of its cold start.
   bool Declared_ = false;
-  bool Leaving_ = false; ///< The host list says so.
-  bool Dead_ = false;    ///< Proved; until a check reaches it.
+  bool Leaving_ = false;   ///< The host list says so.
+  bool Evacuated_ = false; ///< So is its data hall.
+  bool Dead_ = false;      ///< Proved; until a check reaches it.
   bool Remembers_ = false;
 };
 
@@ -108,9 +109,13 @@
   /// Forgets every death, ejection and failure (after a late wake).
   void forgetBeliefs();
 
-  /// Takes the leaving and the dead out of \p Selected, and the ejected, but of
-  /// these never more than half of the living. If all are dead, all are taken.
-  /// Holds until `generation` changes.
+  /// An evacuated upstream gets no new flows, whatever becomes of the others.
+  void setEvacuated(std::uint32_t Index, bool Evacuated);
+
+  /// Takes the leaving, the evacuated and the dead out of \p Selected, and the
+  /// ejected, but of these never more than half of the living that may be used.
+  /// If all of those are dead, all are taken; none, where others are evacuated:
+  /// then it is known that nobody can serve. Holds until `generation` changes.
   void eligibleNow(const std::vector<std::uint32_t> &Selected, MonoTime Now,
                    Eligible &Into) const;
   /// Changes whenever `eligibleNow` may give something else.
--- a/src/declaration.cc
+++ b/src/declaration.cc
@@ -85,6 +85,7 @@
   Window readWindow(const Json &Object, const std::string &Path);
   std::uint16_t readMinute(ObjectReader &Reader, const char *Key);
   Labels readLabels(ObjectReader &Reader);
+  void readEvacuated(ObjectReader &Reader);
   void claim(const std::string &Group, const std::string &Name,
              const std::string &Path);
 
@@ -122,6 +123,7 @@
        [this](auto &&...Args) { readBalancer(Args...); });
   each(Reader.array("selectors"), "selectors",
        [this](auto &&...Args) { readSelector(Args...); });
+  readEvacuated(Reader);
   Reader.finish();
   if (!Found_.empty())
     return nullptr;
@@ -228,6 +230,16 @@
   Result_.Selectors_.push_back(std::move(S));
 }
 
+void Parser::readEvacuated(ObjectReader &Reader) {
+  each(Reader.array("evacuated_data_halls", false), "evacuated_data_halls",
+       [this](const Json &Value, const std::string &Path) {
+         if (!Value.is_string() || Value.get<std::string>().empty())
+           return Found_.add(Path, "must be the name of a data hall");
+         if (!Result_.EvacuatedHalls_.insert(Value.get<std::string>()).second)
+           Found_.add(Path, "names a data hall twice");
+       });
+}
+
 Term Parser::readTerm(const Json &Object, const std::string &Path) {
   static const std::map<std::string, Term::Operator> Operators = {
       {"in", Term::Operator::In},
@@ -316,6 +328,10 @@
                      [&](const Term &T) { return matches(T, L); });
 }
 
+bool isEvacuated(const Declaration &D, const Upstream &U) {
+  return D.EvacuatedHalls_.count(U.DataHall_) != 0;
+}
+
 using Selected = std::vector<std::vector<std::size_t>>;
 
 /// For each service, the indexes of its upstreams under the active selectors.
@@ -324,7 +340,8 @@
   for (std::size_t Index = 0; Index < D.Upstreams_.size(); ++Index)
     for (std::size_t S = 0; S < D.Selectors_.size(); ++S) {
       const Selector &Which = D.Selectors_[S];
-      if (!Active[S] || !allMatch(Which, D.Upstreams_[Index].Labels_))
+      const Upstream &U = D.Upstreams_[Index];
+      if (!Active[S] || !allMatch(Which, U.Labels_) || isEvacuated(D, U))
         continue;
       auto &Into = Result[Which.Service_];
       if (Into.empty() || Into.back() != Index)
@@ -333,6 +350,19 @@
   return Result;
 }
 
+/// A name that nothing stands in is a mistake in writing.
+void checkEvacuated(const Declaration &D, ProblemList &Found) {
+  std::set<std::string> Named;
+  for (const Upstream &U : D.Upstreams_)
+    Named.insert(U.DataHall_);
+  for (const BalancerEntry &B : D.Balancers_)
+    Named.insert(B.DataHall_);
+  for (const std::string &DataHall : D.EvacuatedHalls_)
+    if (Named.count(DataHall) == 0)
+      Found.add("evacuated_data_halls",
+                "no upstream or balancer is in \"" + DataHall + "\"");
+}
+
 std::string minuteText(WallTime When) {
   auto Seconds = static_cast<std::time_t>(
       std::chrono::duration_cast<std::chrono::seconds>(When.time_since_epoch())
@@ -357,6 +387,8 @@
 
 std::string explain(const Declaration &D, const Service &S, const Upstream &U,
                     const ZoneClock &Zones, WallTime When) {
+  if (isEvacuated(D, U))
+    return "data hall \"" + U.DataHall_ + "\" is evacuated";
   std::string First;
   for (const Selector &Which : D.Selectors_) {
     if (&D.Services_[Which.Service_] != &S)
@@ -389,6 +421,7 @@
                    const ZoneClock &Zones, WallTime From) {
   constexpr int MinutesInWeek = DaysInWeek * MinutesInDay;
   ProblemList Found(File);
+  checkEvacuated(D, Found);
   std::set<std::pair<std::string, std::string>> Told;
   std::vector<bool> Last;
   for (int Minute = 0; Minute < MinutesInWeek; ++Minute) {
--- /dev/null
+++ b/src/evacuation.cc
@@ -0,0 +1,57 @@
+#include "thymewall/evacuation.h"
+
+#include <algorithm>
+
+namespace thymewall {
+
+void EvacuationList::apply(const EvacuationBatch &Batch,
+                           std::vector<EvacuationChange> &Applied) {
+  for (const EvacuationChange &Change : Batch.Changes_)
+    applyOne(Change, Applied);
+  if (Batch.Whole_)
+    applyAbsences(Batch, Applied);
+  Through_ = std::max(Through_, Batch.Through_);
+}
+
+void EvacuationList::applyOne(const EvacuationChange &Change,
+                              std::vector<EvacuationChange> &Applied) {
+  auto Known = Halls_.find(Change.DataHall_);
+  bool Evacuated = Known != Halls_.end();
+  Revision KnownAt = Evacuated ? Known->second : Through_;
+  if (Change.At_ <= KnownAt)
+    return;
+  if (Change.Evacuated_)
+    Halls_[Change.DataHall_] = Change.At_;
+  else if (Evacuated)
+    Halls_.erase(Known);
+  if (Change.Evacuated_ != Evacuated)
+    Applied.push_back(Change);
+}
+
+void EvacuationList::applyAbsences(const EvacuationBatch &Batch,
+                                   std::vector<EvacuationChange> &Applied) {
+  auto IsNamed = [&Batch](const std::string &DataHall) {
+    return std::any_of(Batch.Changes_.begin(), Batch.Changes_.end(),
+                       [&](const EvacuationChange &C) {
+                         return C.Evacuated_ && C.DataHall_ == DataHall;
+                       });
+  };
+  for (auto Hall = Halls_.begin(); Hall != Halls_.end();) {
+    bool KnownLater = Hall->second > Batch.Through_;
+    if (KnownLater || IsNamed(Hall->first)) {
+      ++Hall;
+      continue;
+    }
+    Applied.push_back({Hall->first, Batch.Through_, false});
+    Hall = Halls_.erase(Hall);
+  }
+}
+
+EvacuationBatch EvacuationList::all() const {
+  EvacuationBatch Batch{true, Through_, {}};
+  for (const auto &[DataHall, At] : Halls_)
+    Batch.Changes_.push_back({DataHall, At, true});
+  return Batch;
+}
+
+} // namespace thymewall
--- a/src/mechanism.h
+++ b/src/mechanism.h
@@ -23,6 +23,7 @@
   Monotonic,       ///< A declaration never gives way to an earlier one.
   LateWake,        ///< A process that was away rereads first.
   Leaving,         ///< Leaving upstreams are no candidates.
+  Evacuation,      ///< Nor are those of evacuated data halls.
   OpeningRetries,  ///< Unanswered openings go to another upstream.
   OpeningEjection, ///< Upstreams that answer no opening get no more.
   Stalls,          ///< Upstreams that answer no request get no more.
--- a/src/news-impl.h
+++ b/src/news-impl.h
@@ -66,11 +66,9 @@
   void closed(MonoTime Now, LinkId Which);
   void connectFailed(MonoTime Now, const Endpoint &Control);
   void received(MonoTime Now, LinkId Which, const NewsMessage &M);
-  bool readDone(MonoTime Now, const RoutingTablePtr &Routing,
-                const UpstreamBatch &Upstreams, MonoTime AsOf);
-  void readStale(MonoTime Now, const RoutingTablePtr &Routing,
-                 const UpstreamBatch &Upstreams) {
-    apply(Now, Routing, Upstreams);
+  bool readDone(MonoTime Now, const IntentAnswer &Answer, MonoTime AsOf);
+  void readStale(MonoTime Now, const IntentAnswer &Answer) {
+    apply(Now, Answer.Routing_, Answer.Batch_, Answer.Evacuations_);
   }
   void readFailed() { Reading_ = false; }
   void warn(MonoTime Now, const UpstreamWarning &M) { tell(Now, M, nullptr); }
@@ -99,7 +97,9 @@
   bool tell(MonoTime Now, const UpstreamWarning &M, const LinkId *From);
   void noteArrival(MonoTime Now, const PeerHeartbeat &M);
   bool apply(MonoTime Now, const RoutingTablePtr &Routing,
-             const UpstreamBatch &Upstreams);
+             const UpstreamBatch &Upstreams,
+             const EvacuationBatch &Evacuations);
+  void applyEvacuations(const EvacuationBatch &Batch);
   void takeClaim(MonoTime Now, const detail::NewsLink &L,
                  const PeerHeartbeat &M);
   void noteReader(std::uint64_t Score, MonoTime At, MonoTime Now);
@@ -125,6 +125,7 @@
   NewsCounters Counters_;
   RoutingTablePtr Routing_;
   UpstreamList List_;
+  EvacuationList Evacuations_;
   std::map<LinkId, detail::NewsLink> Links_;
   detail::MemberList Members_;
   std::set<Endpoint> Connecting_;
--- a/src/news-message.cc
+++ b/src/news-message.cc
@@ -66,15 +66,23 @@
   return Result;
 }
 
+Json toJson(const EvacuationBatch &Batch) {
+  Json Halls = Json::array();
+  for (const EvacuationChange &Change : Batch.Changes_)
+    Halls.push_back(Json::array({Change.DataHall_, Change.At_}));
+  return Json::array({Batch.Through_, Halls});
+}
+
 Json toJson(const News &M, MonoTime Now) {
   Json Unchanged = Json::array();
   for (Incarnation Which : M.Upstreams_.Unchanged_)
     Unchanged.push_back(raw(Which));
   Json Table = M.Routing_ ? toJson(*M.Routing_) : Json(nullptr);
   const UpstreamBatch &Batch = M.Upstreams_;
-  return {raw(Type::News), Table,          Batch.Whole_,
-          Batch.After_,    Batch.Through_, toJson(Batch.Changes_, Now),
-          M.KnownAgeMs_,   Unchanged,      toJson(Batch.Ended_, Now)};
+  return {raw(Type::News),       Table,          Batch.Whole_,
+          Batch.After_,          Batch.Through_, toJson(Batch.Changes_, Now),
+          M.KnownAgeMs_,         Unchanged,      toJson(Batch.Ended_, Now),
+          toJson(M.Evacuations_)};
 }
 
 Json toJson(const UpstreamWarning &M, MonoTime) {
@@ -165,6 +173,14 @@
   return Changes;
 }
 
+EvacuationBatch evacuationsFrom(const Json &J) {
+  EvacuationBatch Batch{true, J.at(0).get<Revision>(), {}};
+  for (const Json &Hall : J.at(1))
+    Batch.Changes_.push_back(
+        {Hall.at(0).get<std::string>(), Hall.at(1).get<Revision>(), true});
+  return Batch;
+}
+
 NewsMessage newsFrom(const Json &J, MonoTime Now) {
   News M;
   M.Routing_ = routingFrom(J.at(1));
@@ -182,6 +198,7 @@
       throw std::invalid_argument("no last entry");
     Change.Ended_ = true;
   }
+  M.Evacuations_ = evacuationsFrom(J.at(9));
   return M;
 }
 
--- a/src/news.cc
+++ b/src/news.cc
@@ -113,6 +113,7 @@
   if (Routing_ && Routing_->Version_ > M.Routing_)
     Answer.Routing_ = Routing_;
   Answer.Upstreams_ = List_.since(M.Through_);
+  Answer.Evacuations_ = Evacuations_.all();
   if (M.Ended_)
     Answer.Upstreams_.Ended_ = List_.ended();
   ++Counters_.NewsSent_;
@@ -124,7 +125,7 @@
   ++Counters_.NewsTaken_;
   if (Links_[Which].takeAnswer())
     ++EndedAnswers_;
-  if (!apply(Now, M.Routing_, M.Upstreams_)) {
+  if (!apply(Now, M.Routing_, M.Upstreams_, M.Evacuations_)) {
     ++Counters_.Gaps_; // the next heartbeat shows that we are behind
     return;
   }
@@ -165,11 +166,15 @@
 }
 
 bool NewsExchange::Impl::apply(MonoTime Now, const RoutingTablePtr &Routing,
-                               const UpstreamBatch &Upstreams) {
+                               const UpstreamBatch &Upstreams,
+                               const EvacuationBatch &Evacuations) {
   if (Routing && (!Routing_ || Routing->Version_ > Routing_->Version_)) {
     Routing_ = Routing;
     Hooks_.OnRouting_(Routing_);
   }
+  // Before the upstreams: openings that wait for these must not go to a hall
+  // that is evacuated by the same answer.
+  applyEvacuations(Evacuations);
   std::vector<UpstreamChange> Changes;
   bool First = List_.through() == 0;
   if (!List_.apply(Upstreams, Changes))
@@ -180,11 +185,17 @@
   return true;
 }
 
-bool NewsExchange::Impl::readDone(MonoTime Now, const RoutingTablePtr &Routing,
-                                  const UpstreamBatch &Upstreams,
+void NewsExchange::Impl::applyEvacuations(const EvacuationBatch &Batch) {
+  std::vector<EvacuationChange> Changes;
+  Evacuations_.apply(Batch, Changes);
+  if (!Changes.empty() && Hooks_.OnEvacuations_)
+    Hooks_.OnEvacuations_(Changes);
+}
+
+bool NewsExchange::Impl::readDone(MonoTime Now, const IntentAnswer &Answer,
                                   MonoTime AsOf) {
   Revision Before = List_.through();
-  if (!apply(Now, Routing, Upstreams))
+  if (!apply(Now, Answer.Routing_, Answer.Batch_, Answer.Evacuations_))
     return false;
   // Else those that start together all go on reading until they hear of a
   // better reader.
@@ -235,17 +246,16 @@
 void NewsExchange::received(MonoTime Now, LinkId Link, const NewsMessage &M) {
   Impl_->received(Now, Link, M);
 }
-bool NewsExchange::readDone(MonoTime Now, const RoutingTablePtr &Routing,
-                            const UpstreamBatch &Upstreams, MonoTime AsOf) {
-  return Impl_->readDone(Now, Routing, Upstreams, AsOf);
+bool NewsExchange::readDone(MonoTime Now, const IntentAnswer &Answer,
+                            MonoTime AsOf) {
+  return Impl_->readDone(Now, Answer, AsOf);
 }
 void NewsExchange::warn(MonoTime Now, const UpstreamWarning &M) {
   Impl_->warn(Now, M);
 }
 void NewsExchange::readFailed() { Impl_->readFailed(); }
-void NewsExchange::readStale(MonoTime Now, const RoutingTablePtr &Routing,
-                             const UpstreamBatch &Upstreams) {
-  Impl_->readStale(Now, Routing, Upstreams);
+void NewsExchange::readStale(MonoTime Now, const IntentAnswer &Answer) {
+  Impl_->readStale(Now, Answer);
 }
 void NewsExchange::setLeaving(MonoTime Now) { Impl_->setLeaving(Now); }
 void NewsExchange::setSeeds(std::vector<Endpoint> Seeds) {
--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -11,6 +11,7 @@
 #include "thymewall/packet-balancer.h"
 #include "thymewall/silence-evidence.h"
 
+#include <set>
 #include <unordered_map>
 
 namespace thymewall {
@@ -39,6 +40,8 @@
   void setRouting(RoutingTablePtr Table);
   void applyUpstreams(MonoTime Now, const std::vector<UpstreamChange> &Changes,
                       bool MayReturn);
+  void applyEvacuations(MonoTime Now,
+                        const std::vector<EvacuationChange> &Changes);
   void checked(MonoTime Now, Incarnation Upstream, CheckResult Result,
                MonoTime Began);
   void warned(MonoTime Now, const UpstreamWarning &M);
@@ -102,6 +105,8 @@
   std::uint32_t choose(ServiceId Service, FlowId Flow, std::uint32_t Copy,
                        std::uint32_t Avoid);
   const Eligible &eligible(ServiceState &State);
+  ErrorKind whyNone(ServiceId Service) const;
+  bool fresh() const;
   detail::PacketFlowRow *place(const Packet &P, FlowId Flow,
                                std::uint32_t Index);
   void noteOpening(const Packet &P, FlowId Flow, std::uint32_t Index);
@@ -152,6 +157,7 @@
   UpstreamTable Upstreams_;
   std::vector<Detail> Details_; ///< Same index as `Upstreams_`.
   std::unordered_map<std::uint32_t, ServiceState> Services_;
+  std::set<std::string> EvacuatedHalls_;
   std::unordered_map<std::uint32_t, std::uint32_t> IndexOfCookie_;
   /// The upstream that was published last at an address.
   std::unordered_map<Endpoint, std::uint32_t, EndpointHash> HolderOf_;
--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -43,6 +43,7 @@
   bool NewlyDraining = Entry.Draining_ && !D.Draining_;
   bool Returned = D.Lapsed_ || D.Gone_;
   D.DataHall_ = Entry.DataHall_;
+  Upstreams_.setEvacuated(Index, EvacuatedHalls_.count(D.DataHall_) != 0);
   D.Revision_ = Change.At_;
   D.Draining_ = Entry.Draining_;
   D.Lapsed_ = false;
@@ -56,6 +57,20 @@
     believe(Belief::Kind::Draining, Index);
 }
 
+void PacketBalancer::Impl::applyEvacuations(
+    MonoTime Now, const std::vector<EvacuationChange> &Changes) {
+  Now_ = Now;
+  for (const EvacuationChange &Change : Changes) {
+    if (Change.Evacuated_)
+      EvacuatedHalls_.insert(Change.DataHall_);
+    else
+      EvacuatedHalls_.erase(Change.DataHall_);
+    for (std::uint32_t Index = 0; Index < Details_.size(); ++Index)
+      if (Details_[Index].DataHall_ == Change.DataHall_)
+        Upstreams_.setEvacuated(Index, Change.Evacuated_);
+  }
+}
+
 /// A peer tells of an upstream that ended before this balancer heard of it. It
 /// may serve its flows on for many seconds; without its row their packets went
 /// nowhere (133 in ten seconds of restarts beside releases).
@@ -156,6 +171,8 @@
     return "gone";
   if (D.Draining_)
     return "draining";
+  if (Upstreams_.rows()[Index].Evacuated_)
+    return "evacuated";
   if (Upstreams_.rows()[Index].Dead_)
     return "dead";
   if (Upstreams_.rows()[Index].EjectedUntil_ > Now)
@@ -169,6 +186,7 @@
   S.KnownAsOf_ = KnownAsOf_;
   S.Flows_ = Flows_.size();
   S.MemoryBytes_ = Flows_.memory();
+  S.EvacuatedHalls_.assign(EvacuatedHalls_.begin(), EvacuatedHalls_.end());
   for (const auto &[Mark, Index] : IndexOfCookie_) {
     const Detail &D = Details_[Index];
     const UpstreamRow &Row = Upstreams_.rows()[Index];
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -37,10 +37,8 @@
     return refuse(P, ErrorKind::TableNotFresh);
   const std::vector<ServiceShare> *Shares = Routing_->find(P.Service_);
   if (!Shares) {
-    bool Fresh = Now - KnownAsOf_ < Options_.ResetWhenKnown_ ||
-                 !detail::has(detail::Mechanism::KnowledgeAge);
-    return refuse(P,
-                  Fresh ? ErrorKind::UnknownAddress : ErrorKind::TableNotFresh);
+    return refuse(P, fresh() ? ErrorKind::UnknownAddress
+                             : ErrorKind::TableNotFresh);
   }
   FlowId Flow = flowOf(P);
   return opens(P) ? open(P, Flow, *Shares) : follow(P, Flow);
@@ -67,15 +65,37 @@
     if (Now_ - Row->Since_ >= openingWait())
       noteSilence(Before);
   }
-  std::uint32_t Index = choose(drawService(Shares, Flow), Flow, Copy, Before);
+  ServiceId Service = drawService(Shares, Flow);
+  std::uint32_t Index = choose(Service, Flow, Copy, Before);
   if (Index == UpstreamTable::None)
-    return refuse(P, ErrorKind::NoneLeft);
+    return refuse(P, whyNone(Service));
   ++(Copy == 0 ? Counters_.Opened_ : Counters_.OpenMoved_);
   return sendOpening(Copy == 0 ? Decision::Kind::Opened
                                : Decision::Kind::OpenMoved,
                      P, Flow, Index);
 }
 
+/// Whether what is known is recent enough to refuse a caller by it.
+bool PacketBalancer::Impl::fresh() const {
+  return Now_ - KnownAsOf_ < Options_.ResetWhenKnown_ ||
+         !detail::has(detail::Mechanism::KnowledgeAge);
+}
+
+/// Where an evacuation is why nobody takes a flow, its caller is told at once;
+/// else upstreams may be published in a moment, and the opening waits.
+ErrorKind PacketBalancer::Impl::whyNone(ServiceId Service) const {
+  auto Known = Services_.find(raw(Service));
+  if (Known == Services_.end() || !fresh())
+    return ErrorKind::NoneLeft;
+  const std::vector<std::uint32_t> &Members = Known->second.Members_;
+  bool Evacuated =
+      std::any_of(Members.begin(), Members.end(), [this](std::uint32_t Index) {
+        const UpstreamRow &Row = Upstreams_.rows()[Index];
+        return Row.Declared_ && Row.Evacuated_;
+      });
+  return Evacuated ? ErrorKind::AllEvacuated : ErrorKind::NoneLeft;
+}
+
 Verdict PacketBalancer::Impl::retryOpening(MonoTime Now, const Packet &P) {
   Now_ = Now;
   FlowId Flow = flowOf(P);
@@ -229,6 +249,10 @@
                                     bool MayReturn) {
   Impl_->applyUpstreams(Now, Changes, MayReturn);
 }
+void PacketBalancer::applyEvacuations(
+    MonoTime Now, const std::vector<EvacuationChange> &Changes) {
+  Impl_->applyEvacuations(Now, Changes);
+}
 void PacketBalancer::checked(MonoTime Now, Incarnation Upstream,
                              CheckResult Result, MonoTime Began) {
   Impl_->checked(Now, Upstream, Result, Began);
--- a/src/packet-log.cc
+++ b/src/packet-log.cc
@@ -107,6 +107,12 @@
                              {"reason", errorRow(R.Why_).Name_}});
 }
 
+void logEvacuation(const EvacuationChange &Change) {
+  logDecision(Change.Evacuated_ ? "data_hall_evacuated"
+                                : "data_hall_taken_back",
+              {{"data_hall", Change.DataHall_}, {"revision", Change.At_}});
+}
+
 void logRouting(const RoutingTable &Table) {
   logDecision("routing_in_force", {{"version", Table.Version_},
                                    {"addresses", Table.Addresses_.size()}});
--- a/src/packet-log.h
+++ b/src/packet-log.h
@@ -15,6 +15,7 @@
 void logDecisionOn(const Decision &D);
 void logBelief(const Belief &B);
 void logReset(const ResetFlow &R);
+void logEvacuation(const EvacuationChange &Change);
 void logRouting(const RoutingTable &Table);
 
 /// Tells what this process knows of the configuration service: that calls to it
--- a/src/packet-process-news.cc
+++ b/src/packet-process-news.cc
@@ -3,6 +3,8 @@
 #include "clock.h"
 #include "thymewall/log.h"
 
+#include <algorithm>
+
 namespace thymewall::detail {
 
 void PacketProcess::Impl::startCall(MonoTime Now) {
@@ -23,11 +25,10 @@
   if (!Done && !Stale)
     ++ServiceFailures_;
   if (Stale)
-    News_.readStale(Now, Answer.Routing_, Answer.Batch_);
+    News_.readStale(Now, Answer);
   else if (!Done)
     News_.readFailed();
-  else if (!News_.readDone(Now, Answer.Routing_, Answer.Batch_,
-                           Reader_.completeAt()))
+  else if (!News_.readDone(Now, Answer, Reader_.completeAt()))
     Reader_.listAgain();
   review();
 }
@@ -88,6 +89,10 @@
     if (ReadyTold_)
       releaseHeld();
   };
+  Hooks.OnEvacuations_ = [this](const std::vector<EvacuationChange> &Changes) {
+    Core_.applyEvacuations(monoNow(), Changes);
+    std::for_each(Changes.begin(), Changes.end(), logEvacuation);
+  };
   Hooks.OnWarning_ = [this](const UpstreamWarning &M) {
     Core_.warned(monoNow(), M);
   };
--- a/src/upstream-table.cc
+++ b/src/upstream-table.cc
@@ -24,9 +24,11 @@
   return unit(Draw) <= std::max(Share, 0.1);
 }
 
-/// Not about to leave, so that it may take new flows.
-bool stays(const UpstreamRow &Row) {
-  return !Row.Leaving_ || !detail::has(detail::Mechanism::Leaving);
+/// Neither about to leave nor evacuated, so that it may take new flows.
+bool mayTake(const UpstreamRow &Row) {
+  bool Stays = !Row.Leaving_ || !detail::has(detail::Mechanism::Leaving);
+  bool Evacuated = Row.Evacuated_ && detail::has(detail::Mechanism::Evacuation);
+  return Stays && !Evacuated;
 }
 
 const UpstreamRow &rowOf(const Choice &C, std::size_t Index) {
@@ -221,6 +223,13 @@
   ++Generation_;
 }
 
+void UpstreamTable::setEvacuated(std::uint32_t Index, bool Evacuated) {
+  if (Rows_[Index].Evacuated_ == Evacuated)
+    return;
+  Rows_[Index].Evacuated_ = Evacuated;
+  ++Generation_;
+}
+
 void UpstreamTable::forgetBeliefs() {
   for (UpstreamRow &Row : Rows_) {
     Row.Dead_ = false;
@@ -246,16 +255,19 @@
   auto TakeIf = [&](auto Wanted) {
     Into.clear();
     for (std::uint32_t Index : Selected)
-      if (stays(Rows_[Index]) && Wanted(Rows_[Index]))
+      if (mayTake(Rows_[Index]) && Wanted(Rows_[Index]))
         Into.add(Index, Rows_[Index].Slots_);
   };
   auto Lives = [](const UpstreamRow &Row) { return !Row.Dead_; };
   std::size_t Living = 0;
-  for (std::uint32_t Index : Selected)
-    if (stays(Rows_[Index]) && Lives(Rows_[Index]))
+  bool Evacuated = false;
+  for (std::uint32_t Index : Selected) {
+    if (mayTake(Rows_[Index]) && Lives(Rows_[Index]))
       ++Living;
+    Evacuated = Evacuated || Rows_[Index].Evacuated_;
+  }
   if (Living == 0)
-    return TakeIf([](const UpstreamRow &) { return true; });
+    return TakeIf([=](const UpstreamRow &) { return !Evacuated; });
   TakeIf([&](const UpstreamRow &Row) {
     return Lives(Row) && Row.EjectedUntil_ <= Now;
   });
--- a/test/declaration-test.cc
+++ b/test/declaration-test.cc
@@ -221,3 +221,26 @@
     CHECK(eligible(*D, D->Services_[1], zoneClock(), When).size() == 4U);
   }
 }
+
+TEST_CASE(
+    "an evacuated data hall serves nothing new, and its name is checked") {
+  DeclarationPtr D = parse(with("/evacuated_data_halls", Json::array({"h1"})));
+  REQUIRE(D);
+  const Service &Index = D->Services_[0];
+  CHECK(eligible(*D, Index, zoneClock(), at(0, 12, 0)).empty());
+  CHECK(explain(*D, Index, D->Upstreams_[0], zoneClock(), at(0, 12, 0)) ==
+        "data hall \"h1\" is evacuated");
+  Problems Twice =
+      faultsOf(with("/evacuated_data_halls", Json::array({"h1", "h1"})));
+  REQUIRE(Twice.size() == 1);
+  CHECK(Twice[0].Key_ == "evacuated_data_halls[1]");
+  Problems Number = faultsOf(with("/evacuated_data_halls", Json::array({7})));
+  REQUIRE(Number.size() == 1);
+  CHECK(Number[0].Reason_ == "must be the name of a data hall");
+  DeclarationPtr Unknown =
+      parse(with("/evacuated_data_halls", Json::array({"h9"})));
+  REQUIRE(Unknown);
+  Problems Found = checkWeek(*Unknown, "doc.json", zoneClock(), at(0, 0, 0));
+  REQUIRE(Found.size() == 1);
+  CHECK(Found[0].Key_ == "evacuated_data_halls");
+}
--- a/test/news-fleet.cc
+++ b/test/news-fleet.cc
@@ -1,5 +1,7 @@
 #include "news-fleet.h"
 
+#include <algorithm>
+
 namespace thymewall::test {
 
 namespace {
@@ -35,6 +37,7 @@
   ++N.Life_;
   N.Alive_ = true;
   N.Routing_ = 0;
+  N.Evacuated_.clear();
   N.Links_.clear();
   N.Held_.clear();
   if (Beside_.OnStart_)
@@ -66,6 +69,13 @@
   return Log_.size();
 }
 
+Revision NewsFleet::publishEvacuation(const std::string &DataHall,
+                                      bool Evacuated) {
+  publish(Incarnation{0}, std::nullopt); // takes a revision
+  HallLog_.push_back({DataHall, Log_.size(), Evacuated});
+  return Log_.size();
+}
+
 Version NewsFleet::publishRouting() { return publishRouting(Table_); }
 
 Version NewsFleet::publishRouting(const RoutingTable &Table) {
@@ -157,6 +167,17 @@
     if (Beside_.OnUpstreams_)
       Beside_.OnUpstreams_(Which, Changes, MayReturn);
   };
+  Hooks.OnEvacuations_ = [this,
+                          Which](const std::vector<EvacuationChange> &Changes) {
+    for (const EvacuationChange &Change : Changes) {
+      if (Change.Evacuated_)
+        Nodes_[Which].Evacuated_.insert(Change.DataHall_);
+      else
+        Nodes_[Which].Evacuated_.erase(Change.DataHall_);
+    }
+    if (Beside_.OnEvacuations_)
+      Beside_.OnEvacuations_(Which, Changes);
+  };
   Hooks.OnWarning_ = [this, Which](const UpstreamWarning &M) {
     Nodes_[Which].Warnings_.push_back(M);
   };
@@ -321,26 +342,49 @@
   if (A.Batch_.Whole_ || RoutingAt_ > Call.After_) {
     A.Routing_ = std::make_shared<RoutingTable>(Table_);
   }
+  A.Evacuations_ = evacuationsNow(Call, End);
   if (Stale) {
     A.Outcome_ = IntentAnswer::Outcome::Stale;
     A.Batch_.Whole_ = false;
     A.Batch_.Through_ = 0;
+    A.Evacuations_.Whole_ = false;
+    A.Evacuations_.Through_ = 0;
   }
   return A;
 }
 
+EvacuationBatch NewsFleet::evacuationsNow(const IntentCall &Call,
+                                          Revision End) const {
+  EvacuationBatch Batch;
+  Batch.Whole_ = Call.Kind_ != IntentCall::Kind::Watch;
+  Batch.Through_ = End;
+  std::map<std::string, EvacuationChange> Last;
+  for (const EvacuationChange &Change : HallLog_)
+    if (Change.At_ > Call.After_ && Change.At_ <= End)
+      Last[Change.DataHall_] = Change;
+  for (const auto &[DataHall, Change] : Last)
+    if (Change.Evacuated_ || !Batch.Whole_)
+      Batch.Changes_.push_back(Change);
+  return Batch;
+}
+
 void NewsFleet::take(std::size_t Which, const IntentAnswer &A) {
   Node &N = Nodes_[Which];
   N.Reader_->answered(Events_.now(), A, N.News_->fleetSize());
   if (A.Outcome_ == IntentAnswer::Outcome::Stale)
-    N.News_->readStale(Events_.now(), A.Routing_, A.Batch_);
+    N.News_->readStale(Events_.now(), A);
   else if (A.Outcome_ != IntentAnswer::Outcome::Done)
     N.News_->readFailed();
-  else if (!N.News_->readDone(Events_.now(), A.Routing_, A.Batch_,
-                              N.Reader_->completeAt()))
+  else if (!N.News_->readDone(Events_.now(), A, N.Reader_->completeAt()))
     N.Reader_->listAgain();
 }
 
+bool NewsFleet::allEvacuated(const std::set<std::string> &Halls) const {
+  return std::all_of(Nodes_.begin(), Nodes_.end(), [&Halls](const Node &N) {
+    return !N.Alive_ || N.Evacuated_ == Halls;
+  });
+}
+
 bool NewsFleet::allKnow(Revision R) const {
   for (const Node &N : Nodes_)
     if (N.Alive_ && N.News_->through() < R)
--- a/test/news-fleet.h
+++ b/test/news-fleet.h
@@ -22,6 +22,8 @@
   std::function<void(std::size_t Which, const RoutingTablePtr &)> OnRouting_;
   std::function<void(std::size_t Which, const Upstreams &, bool MayReturn)>
       OnUpstreams_;
+  std::function<void(std::size_t Which, const std::vector<EvacuationChange> &)>
+      OnEvacuations_;
   std::function<void(std::size_t Which, MonoTime AsOf)> OnConfirmed_;
   std::function<void(std::size_t Which, MonoTime At)> OnArrival_;
 };
@@ -38,6 +40,8 @@
   /// Publishes an upstream as it is now; without an entry it has ended.
   Revision publish(Incarnation Which,
                    const std::optional<UpstreamEntry> &Entry);
+  /// Publishes that a data hall is evacuated, or taken back.
+  Revision publishEvacuation(const std::string &DataHall, bool Evacuated);
   /// Publishes a routing table with the next version.
   Version publishRouting();
   /// The same, with these addresses.
@@ -71,6 +75,11 @@
   }
   MonoTime clock() const { return Events_.now(); }
   Version routing(std::size_t Which) const { return Nodes_[Which].Routing_; }
+  const std::set<std::string> &evacuated(std::size_t Which) const {
+    return Nodes_[Which].Evacuated_;
+  }
+  /// Every living member, awake and not, has exactly these halls evacuated.
+  bool allEvacuated(const std::set<std::string> &Halls) const;
   bool returning(std::size_t Which) const { return Nodes_[Which].MayReturn_; }
   /// The member that made the last call.
   std::size_t lastReader() const { return LastReader_; }
@@ -89,6 +98,7 @@
     MonoTime CallsSilentFrom_{}; ///< Calls begun before it get no answer.
     std::vector<std::function<void()>> Held_; ///< While it is asleep.
     std::vector<UpstreamWarning> Warnings_;
+    std::set<std::string> Evacuated_;
     Version Routing_ = 0;
     std::uint64_t Life_ = 0; ///< Counts restarts.
     bool Alive_ = true;
@@ -109,6 +119,7 @@
   void tick(std::size_t Which);
   void serve(std::size_t Which, const IntentCall &Call, MonoTime Began);
   IntentAnswer answerNow(const IntentCall &Call) const;
+  EvacuationBatch evacuationsNow(const IntentCall &Call, Revision End) const;
   void take(std::size_t Which, const IntentAnswer &A);
   void noteClaim(std::size_t Which, MonoTime AsOf);
 
@@ -120,7 +131,8 @@
       HeldPackets_;
   std::vector<UpstreamChange> Log_; ///< Index I has revision I + 1.
   std::vector<MonoTime> PublishedAt_;
-  RoutingTable Table_; ///< As it is published.
+  std::vector<EvacuationChange> HallLog_; ///< In the order of revisions.
+  RoutingTable Table_;                    ///< As it is published.
   Revision RoutingAt_ = 0;
   std::size_t Halls_;
   MemberHooks Beside_;
--- a/test/packet-balancer-test.cc
+++ b/test/packet-balancer-test.cc
@@ -1,90 +1,12 @@
-#include "thymewall/packet-balancer.h"
+#include "packets.h"
 
 #include <doctest/doctest.h>
-#include <map>
 #include <rapidcheck.h>
 
 using namespace thymewall;
+using namespace thymewall::test;
 using namespace std::chrono_literals;
 
-namespace {
-
-constexpr ServiceId Index{1};
-constexpr ServiceId Archive{2};
-const Endpoint IndexAt = Endpoint::v4(0xc6120001, 8443);
-const Endpoint ArchiveAt = Endpoint::v4(0xc6120002, 8443);
-
-MonoTime at(std::chrono::milliseconds Time) { return MonoTime(100s + Time); }
-
-RoutingTablePtr
-table(Version V, const std::vector<std::pair<Endpoint, ServiceId>> &Routes) {
-  auto Table = std::make_shared<RoutingTable>();
-  Table->Version_ = V;
-  for (const auto &[Where, Service] : Routes)
-    Table->Addresses_[Where] = {{Service, 1}};
-  return Table;
-}
-
-UpstreamChange up(std::uint64_t Id, ServiceId Service, bool Draining = false,
-                  std::uint32_t Address = 0) {
-  UpstreamEntry E;
-  E.Incarnation_ = Incarnation{Id};
-  E.Service_ = Service;
-  E.At_ = Endpoint::v4(Address ? Address : 0x0a000000 + (Id & 0xffff), 9000);
-  E.Slots_ = 2;
-  E.Draining_ = Draining;
-  return {E.Incarnation_, 1, E};
-}
-
-UpstreamChange gone(std::uint64_t Id) {
-  return {Incarnation{Id}, 2, std::nullopt};
-}
-
-Packet opening(std::uint16_t Port, std::uint32_t Copy = 0,
-               const Endpoint &To = IndexAt) {
-  Packet P;
-  P.Caller_ = Endpoint::v4(0x64400007, Port);
-  P.Service_ = To;
-  P.Acknowledged_ = Copy;
-  P.Opens_ = true;
-  return P;
-}
-
-Packet following(std::uint16_t Port, Cookie Mark, std::uint32_t Acknowledged,
-                 std::uint16_t Data = 0, const Endpoint &To = IndexAt) {
-  Packet P = opening(Port, Acknowledged, To);
-  P.Opens_ = false;
-  P.Acknowledges_ = true;
-  P.Cookie_ = Mark;
-  P.DataSize_ = Data;
-  return P;
-}
-
-/// A balancer with two services: upstreams 1 to 4 of the index, 11 and 12 of
-/// the archive.
-PacketBalancer started() {
-  PacketBalancer B = PacketBalancerBuilder().build();
-  B.setRouting(at(0ms), table(1, {{IndexAt, Index}, {ArchiveAt, Archive}}));
-  B.applyUpstreams(at(0ms), {up(1, Index), up(2, Index), up(3, Index),
-                             up(4, Index), up(11, Archive), up(12, Archive)});
-  B.confirm(at(0ms));
-  return B;
-}
-
-ErrorKind dropReason(const Verdict &V) {
-  const auto *D = std::get_if<Dropped>(&V);
-  return D ? D->Why_ : ErrorKind::None;
-}
-
-const Forward *forwarded(const Verdict &V) { return std::get_if<Forward>(&V); }
-
-std::uint64_t upstreamOf(const Verdict &V) {
-  const Forward *F = forwarded(V);
-  return F ? raw(F->Upstream_) : 0;
-}
-
-} // namespace
-
 TEST_CASE("a flow stays at its upstream at every balancer that has the list") {
   PacketBalancer A = started();
   PacketBalancer B = started();
--- a/test/published-test.cc
+++ b/test/published-test.cc
@@ -120,6 +120,25 @@
   CHECK(A.Changes_[0].Incarnation_ == Incarnation{5});
 }
 
+TEST_CASE("evacuated data halls") {
+  Json Gone = {{"key-file", "op/evacuate/ams-hall-b"},
+               {"revision", 23},
+               {"is-gone", true}};
+  Json Unnamed = item("op/evacuate/", Json::object(), 24);
+  Json NoRevision = item("op/evacuate/ams-hall-c", Json::object(), 25);
+  NoRevision.erase("revision");
+  StoreAnswer A = decode({{"events",
+                           {item("op/evacuate/ams-hall-a", Json::object(), 22),
+                            Gone, Unnamed, NoRevision}},
+                          {"store-revision", 25}});
+  CHECK(A.Evacuations_ ==
+        std::vector<EvacuationChange>{{"ams-hall-a", 22, true},
+                                      {"ams-hall-b", 23, false}});
+  REQUIRE(A.Refused_.size() == 2);
+  CHECK(A.Refused_[0] == "op/evacuate/: it names no data hall");
+  CHECK(A.Refused_[1].find("op/evacuate/ams-hall-c: ") == 0);
+}
+
 TEST_CASE("damaged answers never do more than fail") {
   Json Root = {{"items",
                 {item("op/config", configuration(), 12),
--- a/test/upstream-table-test.cc
+++ b/test/upstream-table-test.cc
@@ -213,3 +213,27 @@
   Table.seen(0, Incarnation{2}, at(200));
   CHECK(Table[0].WarmAt_ == at(200) + UpstreamTable::ColdStart);
 }
+
+TEST_CASE("evacuated upstreams take nothing, also when all others are dead") {
+  UpstreamTable Table;
+  Table.declare(declare(4), at(0));
+  Eligible Among;
+  Table.setEvacuated(0, true);
+  Table.setEvacuated(1, true);
+  Table.eligibleNow(all(4), at(0), Among);
+  CHECK(Among.Indexes_ == std::vector<std::uint32_t>{2, 3});
+  // Half of the two that may be used, not half of four.
+  Table.eject(2, at(5000));
+  Table.eligibleNow(all(4), at(1), Among);
+  CHECK(Among.Indexes_ == std::vector<std::uint32_t>{3});
+  Table.eject(3, at(5000));
+  Table.eligibleNow(all(4), at(1), Among);
+  CHECK(Among.Indexes_ == std::vector<std::uint32_t>{2, 3});
+  Table.setDead(2, true);
+  Table.setDead(3, true);
+  Table.eligibleNow(all(4), at(1), Among);
+  CHECK(Among.empty());
+  Table.setEvacuated(0, false);
+  Table.eligibleNow(all(4), at(1), Among);
+  CHECK(Among.Indexes_ == std::vector<std::uint32_t>{0});
+}
