Silence of an upstream proves its death only while a peer answers

Ruled out: processor time (a timer that late leaves a check unclear), handed-on addresses, unknown addresses (no such reset in the logs). Alone, a balancer judges as before.

--- a/src/packet-process-impl.h
+++ b/src/packet-process-impl.h
@@ -11,6 +11,7 @@
 #include "opening-retries.h"
 #include "packet-log.h"
 #include "packet-pages.h"
+#include "path-witness.h"
 #include "peer-links.h"
 #include "settings-watch.h"
 #include "thymewall/held-packets.h"
@@ -48,6 +49,9 @@
   void act(const ResetFlow &R, const std::uint8_t *Data, std::size_t Size);
   void act(const Dropped &D, const std::uint8_t *Data, std::size_t Size);
   PeerLinkHooks linkHooks();
+  CheckerHooks checkerHooks();
+  MonoTime askPeers();
+  void onPong(const std::string &Bytes);
   NewsHooks newsHooks();
   void onPeerMessage(LinkId Link, const std::string &Bytes);
   void sendReset(const ResetFlow &R);
@@ -79,6 +83,7 @@
   PacketBalancer Core_;
   HeldPackets Held_; ///< Until the core is ready or upstreams are published.
   OpeningRetries Openings_;
+  PathWitness Path_;
   UpstreamChecker Checker_;
   IntentReader Reader_;
   IntentCaller Call_;
--- a/src/packet-process-news.cc
+++ b/src/packet-process-news.cc
@@ -4,6 +4,7 @@
 #include "thymewall/log.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace thymewall::detail {
 
@@ -42,12 +43,42 @@
     onPeerMessage(Link, Bytes);
   };
   Hooks.OnClose_ = [this](LinkId Link) { News_.closed(monoNow(), Link); };
+  Hooks.OnPong_ = [this](const std::string &Bytes) { onPong(Bytes); };
   Hooks.OnFailed_ = [this](const std::string &Target) {
     News_.connectFailed(monoNow(), parseEndpoint(Target));
   };
   return Hooks;
 }
 
+CheckerHooks PacketProcess::Impl::checkerHooks() {
+  CheckerHooks Hooks;
+  Hooks.OnResult_ = [this](Incarnation Upstream, CheckResult Result,
+                           MonoTime Began) {
+    Core_.checked(monoNow(), Upstream, Result, Began);
+  };
+  Hooks.AskPeers_ = [this] { return askPeers(); };
+  Hooks.PeersAnswered_ = [this](MonoTime AskedAt) {
+    // A balancer without peers has nobody to ask.
+    return News_.counters().Members_ == 0 || Path_.answeredSince(AskedAt);
+  };
+  return Hooks;
+}
+
+/// A ping carries the time of its question, which only this process reads.
+MonoTime PacketProcess::Impl::askPeers() {
+  MonoTime Now = monoNow();
+  if (Path_.wantsQuestion(Now))
+    Links_.pingAll(std::to_string(Now.time_since_epoch().count()));
+  return Path_.askedAt();
+}
+
+void PacketProcess::Impl::onPong(const std::string &Bytes) {
+  Micros::rep AskedAt = 0;
+  const char *End = Bytes.data() + Bytes.size();
+  if (std::from_chars(Bytes.data(), End, AskedAt).ec == std::errc())
+    Path_.answered(MonoTime(Micros(AskedAt)), monoNow());
+}
+
 void PacketProcess::Impl::onPeerMessage(LinkId Link, const std::string &Bytes) {
   MonoTime Now = monoNow();
   NewsMessage M;
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -64,12 +64,7 @@
       Openings_(Context,
                 [this](MonoTime Now, const std::uint8_t *Data,
                        std::size_t Size) { retryOpening(Now, Data, Size); }),
-      Checker_(
-          Context,
-          [this](Incarnation Upstream, CheckResult Result, MonoTime Began) {
-            Core_.checked(monoNow(), Upstream, Result, Began);
-          }),
-      Reader_(randomShare()),
+      Checker_(Context, checkerHooks()), Reader_(randomShare()),
       Call_(Hooks_.MakeCaller_(Context, Settings_.Configuration_)),
       Links_(Context, Settings_.Control_, MaxNewsMessage, linkHooks()),
       News_(newsOptions(Settings_), newsHooks()),
--- a/src/peer-links.cc
+++ b/src/peer-links.cc
@@ -97,6 +97,16 @@
       close(Which);
   }
 
+  void pingAll(const std::string &Bytes) {
+    websocketpp::lib::error_code Ignored; // a link that is about to close
+    for (const auto &[Which, L] : Links_) {
+      if (L.Accepted_)
+        Server_.ping(L.Handle_, Bytes, Ignored);
+      else
+        Client_.ping(L.Handle_, Bytes, Ignored);
+    }
+  }
+
   void close(LinkId Which) {
     auto Known = Links_.find(Which);
     if (Known != Links_.end())
@@ -113,6 +123,10 @@
     E.set_max_message_size(MaxMessage_);
     E.set_open_handshake_timeout(HandshakeMs);
     E.set_close_handshake_timeout(HandshakeMs);
+    E.set_pong_handler([this](const Handle &, const std::string &Bytes) {
+      if (Hooks_.OnPong_)
+        Hooks_.OnPong_(Bytes);
+    });
     E.set_message_handler(
         [this](const Handle &H, typename EndpointType::message_ptr M) {
           auto Known = Ids_.find(H);
@@ -167,6 +181,7 @@
 void PeerLinks::send(LinkId Link, const std::string &Bytes) {
   Impl_->send(Link, Bytes);
 }
+void PeerLinks::pingAll(const std::string &Bytes) { Impl_->pingAll(Bytes); }
 void PeerLinks::close(LinkId Link) { Impl_->close(Link); }
 
 } // namespace thymewall::detail
--- a/src/peer-links.h
+++ b/src/peer-links.h
@@ -16,6 +16,8 @@
   std::function<void(LinkId, const std::string &Bytes)> OnMessage_;
   std::function<void(LinkId)> OnClose_;
   std::function<void(const std::string &Target)> OnFailed_;
+  /// A peer has answered a ping with its bytes.
+  std::function<void(const std::string &Bytes)> OnPong_;
 };
 
 class PeerLinks {
@@ -28,6 +30,8 @@
   /// \p Target is "ADDRESS:PORT".
   void connect(const std::string &Target);
   void send(LinkId Link, const std::string &Bytes);
+  /// Asks every peer for these bytes back, at most 125.
+  void pingAll(const std::string &Bytes);
   /// `OnClose_` follows, at the latest when the connection's close times out.
   void close(LinkId Link);
 
--- a/src/upstream-checker.cc
+++ b/src/upstream-checker.cc
@@ -1,6 +1,7 @@
 #include "upstream-checker.h"
 
 #include "clock.h"
+#include "path-witness.h"
 #include "udp-socket.h"
 
 #include <asio/ip/tcp.hpp>
@@ -12,7 +13,6 @@
 
 /// A connection takes about 2 ms between data halls.
 constexpr auto TryFor = std::chrono::milliseconds(80);
-constexpr int Tries = 2;
 /// A timer this late means that this process did not run; then silence is no
 /// proof.
 constexpr auto LateBy = std::chrono::milliseconds(40);
@@ -21,13 +21,13 @@
 class Check : public std::enable_shared_from_this<Check> {
 public:
   Check(asio::io_context &Context, const UpstreamCheck &Wanted,
-        std::shared_ptr<const UpstreamChecker::Handler> OnResult)
+        std::shared_ptr<const CheckerHooks> Hooks)
       : Socket_(Context), Timer_(Context), Wanted_(Wanted),
-        OnResult_(std::move(OnResult)),
-        Began_(std::chrono::steady_clock::now()) {}
+        Hooks_(std::move(Hooks)), Began_(std::chrono::steady_clock::now()) {}
 
   void attempt() {
     ++Attempt_;
+    AskedAt_ = Hooks_->AskPeers_();
     EndAt_ = std::chrono::steady_clock::now() + TryFor;
     Timer_.expires_at(EndAt_);
     Timer_.async_wait([Self = shared_from_this(),
@@ -56,10 +56,14 @@
     if (std::chrono::steady_clock::now() - EndAt_ > LateBy)
       return finish(CheckResult::Unclear);
     close();
-    if (Attempt_ < Tries)
-      attempt();
-    else
-      finish(CheckResult::Dead);
+    switch (Tries_.silent(Hooks_->PeersAnswered_(AskedAt_))) {
+    case CheckTries::Next::TryAgain:
+      return attempt();
+    case CheckTries::Next::Dead:
+      return finish(CheckResult::Dead);
+    case CheckTries::Next::Unclear:
+      return finish(CheckResult::Unclear);
+    }
   }
 
   void close() {
@@ -68,16 +72,18 @@
   }
 
   void finish(CheckResult Result) {
-    Attempt_ = Tries + 1; // whatever still ends is ignored
+    ++Attempt_; // whatever still ends is ignored
     Timer_.cancel();
     close();
-    (*OnResult_)(Wanted_.Upstream_, Result, toMono(Began_));
+    Hooks_->OnResult_(Wanted_.Upstream_, Result, toMono(Began_));
   }
 
   asio::ip::tcp::socket Socket_;
   asio::steady_timer Timer_;
   UpstreamCheck Wanted_;
-  std::shared_ptr<const UpstreamChecker::Handler> OnResult_;
+  std::shared_ptr<const CheckerHooks> Hooks_;
+  CheckTries Tries_;
+  MonoTime AskedAt_{};
   SteadyTime Began_;
   SteadyTime EndAt_{};
   int Attempt_ = 0;
@@ -85,12 +91,12 @@
 
 } // namespace
 
-UpstreamChecker::UpstreamChecker(asio::io_context &Context, Handler OnResult)
+UpstreamChecker::UpstreamChecker(asio::io_context &Context, CheckerHooks Hooks)
     : Context_(Context),
-      OnResult_(std::make_shared<const Handler>(std::move(OnResult))) {}
+      Hooks_(std::make_shared<const CheckerHooks>(std::move(Hooks))) {}
 
 void UpstreamChecker::check(const UpstreamCheck &Wanted) {
-  std::make_shared<Check>(Context_, Wanted, OnResult_)->attempt();
+  std::make_shared<Check>(Context_, Wanted, Hooks_)->attempt();
 }
 
 } // namespace thymewall::detail
--- a/src/upstream-checker.h
+++ b/src/upstream-checker.h
@@ -9,20 +9,27 @@
 
 namespace thymewall::detail {
 
+struct CheckerHooks {
+  std::function<void(Incarnation Upstream, CheckResult Result, MonoTime Began)>
+      OnResult_;
+  /// A try begins: peers are asked, too. Gives the time of the question.
+  std::function<MonoTime()> AskPeers_;
+  /// Whether that question was answered in time, so that silence proves
+  /// something.
+  std::function<bool(MonoTime AskedAt)> PeersAnswered_;
+};
+
 class UpstreamChecker {
 public:
-  using Handler = std::function<void(Incarnation Upstream, CheckResult Result,
-                                     MonoTime Began)>;
-
-  UpstreamChecker(asio::io_context &Context, Handler OnResult);
+  UpstreamChecker(asio::io_context &Context, CheckerHooks Hooks);
 
-  /// Tries to connect, twice if the first try meets silence: one lost packet
-  /// proves nothing. Nothing is sent.
+  /// Tries to connect, and again as long as silence is no proof. Nothing is
+  /// sent.
   void check(const UpstreamCheck &Wanted);
 
 private:
   asio::io_context &Context_;
-  std::shared_ptr<const Handler> OnResult_;
+  std::shared_ptr<const CheckerHooks> Hooks_;
 };
 
 } // namespace thymewall::detail
