New flows of a cold upstream stay within its limit over the whole fleet

Cause: FAILBACK sums over all machines; services may publish warmup-per-s, which was not read, and each balancer ramped for itself. Change: ColdAdmission; a balancer that has just come or leaves owns nothing; where all are cold callers beyond the limit are reset at once (all_cold). Copies and retries count.

--- a/include/thymewall/news.h
+++ b/include/thymewall/news.h
@@ -9,6 +9,7 @@
 #ifndef THYMEWALL_NEWS_H
 #define THYMEWALL_NEWS_H
 
+#include "thymewall/cold-admission.h"
 #include "thymewall/intent-reader.h"
 #include "thymewall/news-message.h"
 
@@ -135,6 +136,7 @@
   MonoTime knownAsOf() const;
   /// Balancers that share the reading, at least 1 (this one).
   std::size_t fleetSize() const;
+  FleetView fleetView(MonoTime Now) const;
   /// Most of this balancer's data hall is dead, and another data hall is well.
   /// The fabric goes on using every host of a data hall in which fewer than
   /// half answer, dead ones too, but none of a hall in which nobody does: the
--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -12,6 +12,7 @@
 #ifndef THYMEWALL_PACKET_BALANCER_H
 #define THYMEWALL_PACKET_BALANCER_H
 
+#include "thymewall/cold-admission.h"
 #include "thymewall/evacuation.h"
 #include "thymewall/packet.h"
 #include "thymewall/routing.h"
@@ -160,6 +161,8 @@
   /// A flow older than this may be forgotten, and so may its upstream.
   Micros FlowLimit_ = std::chrono::seconds(60);
   std::uint32_t FlowBound_ = 200'000;
+  /// `Over_` and `Slack_` hold for every service that publishes a limit.
+  ColdLimit Cold_;
 };
 
 class PacketBalancer {
@@ -213,8 +216,14 @@
   /// it: silence within `SettlesWithin` may be theirs.
   void arrived(MonoTime At);
   void tick(MonoTime Now);
-  /// Changes `ResetWhenKnown_` and `FlowLimit_` of the options.
-  void setLimits(Micros ResetWhenKnown, Micros FlowLimit);
+  /// The fleet as it is believed to be, about at every tick: parts the limits
+  /// of cold upstreams. Without it they get no flow that has a limit.
+  void setFleet(FleetView View);
+  /// Whether any service limits its cold upstreams, so that the fleet matters.
+  bool limitsCold() const;
+  /// Changes these options.
+  void setLimits(Micros ResetWhenKnown, Micros FlowLimit, double ColdOver,
+                 double ColdSlack);
 
   /// How long an opening may stay unanswered before it is worth a retry: what
   /// openings usually take here decides.
@@ -240,6 +249,7 @@
   PacketBalancerBuilder &onWarning(WarningHook Value);
   PacketBalancerBuilder &resetWhenKnown(Micros Value);
   PacketBalancerBuilder &flowLimit(Micros Value);
+  PacketBalancerBuilder &coldOver(double Times, double Slack);
   PacketBalancer build() const;
 
 private:
--- a/include/thymewall/packet-settings.h
+++ b/include/thymewall/packet-settings.h
@@ -22,6 +22,10 @@
   Micros RoutingWithin_{};      ///< A routing table must be in force by then.
   Micros StopWithin_{};         ///< After a stop signal, before force is used.
   Micros FlowLimit_{};          ///< A flow older than this may be forgotten.
+  /// How far what a cold upstream gets may go over what its service publishes:
+  /// so many times, and so many flows a second more.
+  double ColdOver_ = 1;
+  double ColdSlack_ = 0;
 };
 bool operator==(const PacketSettings &A, const PacketSettings &B);
 
--- a/include/thymewall/routing.h
+++ b/include/thymewall/routing.h
@@ -31,11 +31,16 @@
   std::unordered_map<Endpoint, std::vector<ServiceShare>, EndpointHash>
       Addresses_;
   std::unordered_map<std::uint32_t, std::string> ServiceNames_;
+  /// New flows a second that a cold upstream of a service bears; only services
+  /// that have such a limit.
+  std::unordered_map<std::uint32_t, double> ColdPerSecond_;
   /// A flow that rests longer may be forgotten.
   Micros IdleLimit_ = std::chrono::seconds(60);
 
   /// Null when callers may not use the address.
   const std::vector<ServiceShare> *find(const Endpoint &At) const;
+  /// 0 where a service has no limit for its cold upstreams.
+  double coldPerSecond(ServiceId Id) const;
   /// The name of a service, or its number when no name is known.
   std::string nameOf(ServiceId Id) const;
 };
--- a/src/core.cc
+++ b/src/core.cc
@@ -54,6 +54,7 @@
     {ErrorKind::NoneLeft, "none_left", Answer::Silence, Now},
     {ErrorKind::UpstreamDead, "upstream_dead", Answer::Reset, Now},
     {ErrorKind::AllEvacuated, "all_evacuated", Answer::Reset, Now},
+    {ErrorKind::AllCold, "all_cold", Answer::Reset, Now},
 };
 static_assert(sizeof Rows / sizeof Rows[0] ==
                   static_cast<std::size_t>(ErrorKind::Count),
--- a/src/mechanism.h
+++ b/src/mechanism.h
@@ -37,6 +37,7 @@
   OneReader,       ///< One balancer reads for the fleet.
   KnowledgeAge,    ///< Unknown addresses are reset only on fresh knowledge.
   LeastLoaded,     ///< The less loaded of two candidates.
+  ColdLimits,      ///< Few balancers open flows to a cold upstream.
   ColdRamp         ///< Cold upstreams get fewer flows.
 };
 
--- a/src/news-impl.h
+++ b/src/news-impl.h
@@ -83,6 +83,7 @@
   std::size_t fleetSize() const {
     return Links_.empty() ? 1 : Members_.size() + 1;
   }
+  FleetView fleetView(MonoTime Now) const;
   bool hallIsLost(MonoTime Now) const {
     return Members_.hallIsLost(Now, Options_.Self_.DataHall_);
   }
--- a/src/news-message.cc
+++ b/src/news-message.cc
@@ -44,8 +44,11 @@
   Json Names = Json::array();
   for (const auto &[Id, Name] : Table.ServiceNames_)
     Names.push_back(Name);
+  Json Cold = Json::array();
+  for (const auto &[Id, PerSecond] : Table.ColdPerSecond_)
+    Cold.push_back(Json::array({Id, PerSecond}));
   return Json::array(
-      {Table.Version_, Addresses, Names, Table.IdleLimit_.count()});
+      {Table.Version_, Addresses, Names, Table.IdleLimit_.count(), Cold});
 }
 
 Json toJson(const UpstreamChange &Change, MonoTime Now) {
@@ -144,6 +147,9 @@
     Table->ServiceNames_[nameId(Name.get<std::string>())] =
         Name.get<std::string>();
   Table->IdleLimit_ = Micros(J.at(3).get<std::int64_t>());
+  for (const Json &Item : J.at(4))
+    Table->ColdPerSecond_[Item.at(0).get<std::uint32_t>()] =
+        Item.at(1).get<double>();
   return Table;
 }
 
--- a/src/news.cc
+++ b/src/news.cc
@@ -172,13 +172,14 @@
     Routing_ = Routing;
     Hooks_.OnRouting_(Routing_);
   }
-  // Before the upstreams: openings that wait for these must not go to a hall
-  // that is evacuated by the same answer.
-  applyEvacuations(Evacuations);
   std::vector<UpstreamChange> Changes;
   bool First = List_.through() == 0;
   if (!List_.apply(Upstreams, Changes))
     return false;
+  // Before the upstreams are told: openings that wait for these must not go to
+  // a hall that is evacuated by the same answer. Not where changes are missing:
+  // upstreams of a hall that is taken back may have turned cold.
+  applyEvacuations(Evacuations);
   bool Away = !First && Now - KnownAsOf_ > AwayAfter;
   if (First || !Changes.empty())
     Hooks_.OnUpstreams_(Changes, Away);
@@ -210,6 +211,15 @@
   return true;
 }
 
+FleetView NewsExchange::Impl::fleetView(MonoTime Now) const {
+  FleetView View;
+  View.Self_ = Score_;
+  for (const Member &M : Members_.all())
+    View.Others_.push_back(detail::readScore(M.Name_));
+  View.Settled_ = !Leaving_ && Now - PresentSince_ >= ArrivedWithin;
+  return View;
+}
+
 std::size_t NewsExchange::Impl::readRank() const {
   return Members_.countIf(
       [&](const Member &M) { return detail::readScore(M.Name_) < Score_; });
@@ -266,6 +276,9 @@
 Revision NewsExchange::through() const { return Impl_->through(); }
 MonoTime NewsExchange::knownAsOf() const { return Impl_->knownAsOf(); }
 std::size_t NewsExchange::fleetSize() const { return Impl_->fleetSize(); }
+FleetView NewsExchange::fleetView(MonoTime Now) const {
+  return Impl_->fleetView(Now);
+}
 bool NewsExchange::hallIsLost(MonoTime Now) const {
   return Impl_->hallIsLost(Now);
 }
--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -51,9 +51,16 @@
     UnsettledUntil_ = std::max(UnsettledUntil_, At + SettlesWithin);
   }
   void tick(MonoTime Now);
-  void setLimits(Micros ResetWhenKnown, Micros FlowLimit) {
+  void setFleet(FleetView View) { Cold_.setFleet(std::move(View)); }
+  bool limitsCold() const {
+    return Routing_ && !Routing_->ColdPerSecond_.empty();
+  }
+  void setLimits(Micros ResetWhenKnown, Micros FlowLimit, double ColdOver,
+                 double ColdSlack) {
     Options_.ResetWhenKnown_ = ResetWhenKnown;
     Options_.FlowLimit_ = FlowLimit;
+    Options_.Cold_.Over_ = ColdOver;
+    Options_.Cold_.Slack_ = ColdSlack;
   }
   bool ready() const { return Routing_ && ListKnown_; }
   const PacketCounters &counters() const { return Counters_; }
@@ -71,6 +78,7 @@
     bool Member_ = false; ///< Of the service.
     std::string DataHall_;
     Revision Revision_ = 0;
+    MonoTime ColdUntil_{};   ///< As it is published.
     MonoTime LapsedUntil_{}; ///< While it may come back.
     MonoTime ForgetAt_{};    ///< When a gone upstream's row is given back.
     MonoTime ProgressAt_{};  ///< Last sign of life in any of its flows.
@@ -91,6 +99,11 @@
   struct ServiceState {
     std::vector<std::uint32_t> Members_;
     Eligible Eligible_;
+    /// Those that only the owners of their limit may choose, and when the first
+    /// of them is warm.
+    std::vector<std::uint32_t> Cold_;
+    MonoTime WarmAt_ = MonoTime::max();
+    Version Routing_ = 0;           ///< Whose limits were applied.
     detail::ObservedDelay Answers_; ///< From request to acknowledged answer.
     std::uint64_t Generation_ = 0;
   };
@@ -104,7 +117,11 @@
                       std::uint32_t Index);
   std::uint32_t choose(ServiceId Service, FlowId Flow, std::uint32_t Copy,
                        std::uint32_t Avoid);
-  const Eligible &eligible(ServiceState &State);
+  const Eligible &eligible(ServiceId Service, ServiceState &State);
+  void partCold(ServiceState &State, const ColdLimit &Limit);
+  std::uint32_t chooseCold(const ServiceState &State, FlowId Flow,
+                           const ColdLimit &Limit, std::uint32_t Avoid);
+  ColdLimit coldLimit(ServiceId Service) const;
   ErrorKind whyNone(ServiceId Service) const;
   bool fresh() const;
   detail::PacketFlowRow *place(const Packet &P, FlowId Flow,
@@ -158,6 +175,7 @@
   std::vector<Detail> Details_; ///< Same index as `Upstreams_`.
   std::unordered_map<std::uint32_t, ServiceState> Services_;
   std::set<std::string> EvacuatedHalls_;
+  ColdAdmission Cold_;
   std::unordered_map<std::uint32_t, std::uint32_t> IndexOfCookie_;
   /// The upstream that was published last at an address.
   std::unordered_map<Endpoint, std::uint32_t, EndpointHash> HolderOf_;
--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -44,6 +44,7 @@
   bool Returned = D.Lapsed_ || D.Gone_;
   D.DataHall_ = Entry.DataHall_;
   Upstreams_.setEvacuated(Index, EvacuatedHalls_.count(D.DataHall_) != 0);
+  D.ColdUntil_ = Entry.WarmAt_;
   D.Revision_ = Change.At_;
   D.Draining_ = Entry.Draining_;
   D.Lapsed_ = false;
@@ -151,6 +152,7 @@
     HolderOf_.erase(Holder);
   leaveService(Index);
   Evidence_.clear(Index);
+  Cold_.forget(Upstreams_[Index].Incarnation_);
   Upstreams_.release(Index);
   D = Detail{};
 }
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -81,7 +81,8 @@
          !detail::has(detail::Mechanism::KnowledgeAge);
 }
 
-/// Where an evacuation is why nobody takes a flow, its caller is told at once;
+/// Where an evacuation or the limit of cold upstreams is why nobody takes a
+/// flow, its caller is told at once;
 /// else upstreams may be published in a moment, and the opening waits.
 ErrorKind PacketBalancer::Impl::whyNone(ServiceId Service) const {
   auto Known = Services_.find(raw(Service));
@@ -93,7 +94,9 @@
         const UpstreamRow &Row = Upstreams_.rows()[Index];
         return Row.Declared_ && Row.Evacuated_;
       });
-  return Evacuated ? ErrorKind::AllEvacuated : ErrorKind::NoneLeft;
+  if (Evacuated)
+    return ErrorKind::AllEvacuated;
+  return Known->second.Cold_.empty() ? ErrorKind::NoneLeft : ErrorKind::AllCold;
 }
 
 Verdict PacketBalancer::Impl::retryOpening(MonoTime Now, const Packet &P) {
@@ -138,12 +141,14 @@
   auto Known = Services_.find(raw(Service));
   if (Known == Services_.end())
     return UpstreamTable::None;
-  const Eligible &Among = eligible(Known->second);
-  if (Among.empty())
-    return UpstreamTable::None;
+  const Eligible &Among = eligible(Service, Known->second);
   FlowId Drawn = Flow;
   if (Copy > 0)
     Drawn = static_cast<FlowId>(hashPair(raw(Flow), CopyDraw + Copy));
+  std::uint32_t Cold =
+      chooseCold(Known->second, Drawn, coldLimit(Service), Avoid);
+  if (Cold != UpstreamTable::None || Among.empty())
+    return Cold;
   Choice C{{Service, Drawn}, Among, Upstreams_.rows(), Now_};
   std::uint32_t Index = Among.Indexes_[Options_.Chooser_(C)];
   if (Index != Avoid)
@@ -153,19 +158,71 @@
   return Among.Indexes_[Other];
 }
 
-const Eligible &PacketBalancer::Impl::eligible(ServiceState &State) {
+const Eligible &PacketBalancer::Impl::eligible(ServiceId Service,
+                                               ServiceState &State) {
   Upstreams_.review(Now_);
-  if (State.Generation_ == Upstreams_.generation())
+  bool Current = State.Generation_ == Upstreams_.generation() &&
+                 State.Routing_ == Routing_->Version_ && Now_ < State.WarmAt_;
+  if (Current)
     return State.Eligible_;
   std::vector<std::uint32_t> Selected;
   for (std::uint32_t Index : State.Members_)
     if (Upstreams_[Index].Declared_)
       Selected.push_back(Index);
   Upstreams_.eligibleNow(Selected, Now_, State.Eligible_);
+  partCold(State, coldLimit(Service));
   State.Generation_ = Upstreams_.generation();
+  State.Routing_ = Routing_->Version_;
   return State.Eligible_;
 }
 
+ColdLimit PacketBalancer::Impl::coldLimit(ServiceId Service) const {
+  ColdLimit Limit = Options_.Cold_;
+  bool Limits = detail::has(detail::Mechanism::ColdLimits);
+  Limit.PerSecond_ = Limits ? Routing_->coldPerSecond(Service) : 0;
+  return Limit;
+}
+
+/// Takes the cold upstreams of a service that limits them out of its
+/// candidates.
+void PacketBalancer::Impl::partCold(ServiceState &State,
+                                    const ColdLimit &Limit) {
+  State.Cold_.clear();
+  State.WarmAt_ = MonoTime::max();
+  if (!Limit.given())
+    return;
+  Eligible Warm;
+  for (std::uint32_t Index : State.Eligible_.Indexes_) {
+    MonoTime ColdUntil = Details_[Index].ColdUntil_;
+    if (ColdUntil <= Now_) {
+      Warm.add(Index, Upstreams_[Index].Slots_);
+      continue;
+    }
+    State.Cold_.push_back(Index);
+    State.WarmAt_ = std::min(State.WarmAt_, ColdUntil);
+  }
+  State.Eligible_ = std::move(Warm);
+}
+
+/// A cold upstream that this balancer may open a flow to. It goes before the
+/// warm ones: few flows are so led, and each takes load from the others while
+/// these are fewest.
+std::uint32_t PacketBalancer::Impl::chooseCold(const ServiceState &State,
+                                               FlowId Flow,
+                                               const ColdLimit &Limit,
+                                               std::uint32_t Avoid) {
+  std::size_t Count = State.Cold_.size();
+  for (std::size_t I = 0; I < Count; ++I) {
+    std::uint32_t Index = State.Cold_[(raw(Flow) + I) % Count];
+    Incarnation Which = Upstreams_[Index].Incarnation_;
+    if (Index == Avoid || !Cold_.admits(Now_, Which, Limit))
+      continue;
+    Cold_.opened(Now_, Which, Limit);
+    return Index;
+  }
+  return UpstreamTable::None;
+}
+
 /// The cookie alone decides, whichever service the address leads to by now: a
 /// balancer that has just started knows no earlier routing table, and a flow
 /// opened under one would get no answer. An upstream refuses flows that it
@@ -264,8 +321,13 @@
 void PacketBalancer::setServing(bool Serving) { Impl_->setServing(Serving); }
 void PacketBalancer::arrived(MonoTime At) { Impl_->arrived(At); }
 void PacketBalancer::tick(MonoTime Now) { Impl_->tick(Now); }
-void PacketBalancer::setLimits(Micros ResetWhenKnown, Micros FlowLimit) {
-  Impl_->setLimits(ResetWhenKnown, FlowLimit);
+void PacketBalancer::setFleet(FleetView View) {
+  Impl_->setFleet(std::move(View));
+}
+bool PacketBalancer::limitsCold() const { return Impl_->limitsCold(); }
+void PacketBalancer::setLimits(Micros ResetWhenKnown, Micros FlowLimit,
+                               double ColdOver, double ColdSlack) {
+  Impl_->setLimits(ResetWhenKnown, FlowLimit, ColdOver, ColdSlack);
 }
 Micros PacketBalancer::openingWait() const { return Impl_->openingWait(); }
 bool PacketBalancer::ready() const { return Impl_->ready(); }
@@ -312,6 +374,12 @@
   Options_.OnWarning_ = std::move(Value);
   return *this;
 }
+PacketBalancerBuilder &PacketBalancerBuilder::coldOver(double Times,
+                                                       double Slack) {
+  Options_.Cold_.Over_ = Times;
+  Options_.Cold_.Slack_ = Slack;
+  return *this;
+}
 PacketBalancer PacketBalancerBuilder::build() const {
   return PacketBalancer(Options_);
 }
--- a/src/packet-process-control.cc
+++ b/src/packet-process-control.cc
@@ -123,7 +123,10 @@
   Settings_.StopWithin_ = Wanted->StopWithin_;
   Settings_.RoutingWithin_ = Wanted->RoutingWithin_;
   Settings_.FlowLimit_ = Wanted->FlowLimit_;
-  Core_.setLimits(resetWhenKnown(Settings_), Settings_.FlowLimit_);
+  Settings_.ColdOver_ = Wanted->ColdOver_;
+  Settings_.ColdSlack_ = Wanted->ColdSlack_;
+  Core_.setLimits(resetWhenKnown(Settings_), Settings_.FlowLimit_,
+                  Settings_.ColdOver_, Settings_.ColdSlack_);
   logState("settings_reloaded", {{"cause", Cause}});
 }
 
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -34,6 +34,7 @@
   return PacketBalancerBuilder()
       .resetWhenKnown(resetWhenKnown(S))
       .flowLimit(S.FlowLimit_)
+      .coldOver(S.ColdOver_, S.ColdSlack_)
       .onDecision(logDecisionOn)
       .onBelief(logBelief)
       .onDelay(std::move(OnDelay))
@@ -154,6 +155,8 @@
     News_.tick(Now);
     noteHall(Now);
     Core_.setServing(ready());
+    if (Core_.limitsCold())
+      Core_.setFleet(News_.fleetView(Now));
     Core_.tick(Now);
     Openings_.setWait(Core_.openingWait());
     endWhenQuiet(Now);
--- a/src/packet-settings.cc
+++ b/src/packet-settings.cc
@@ -11,6 +11,10 @@
 /// Bounds of times in settings: more than a day is a mistake in the unit.
 constexpr std::int64_t DayMs = 86'400'000;
 
+/// Bounds of what a cold upstream may get: more is a mistake in writing.
+constexpr double MostColdOver = 100;
+constexpr double MostColdSlack = 100'000;
+
 Micros readMs(detail::ObjectReader &Reader, const char *Key) {
   return std::chrono::milliseconds(Reader.integer(Key, 1, DayMs));
 }
@@ -21,7 +25,8 @@
   auto Fields = [](const PacketSettings &S) {
     return std::tie(S.Name_, S.DataHall_, S.Packets_, S.Readiness_, S.Control_,
                     S.AdvertisedControl_, S.Configuration_, S.MetricsPort_,
-                    S.Seeds_, S.RoutingWithin_, S.StopWithin_, S.FlowLimit_);
+                    S.Seeds_, S.RoutingWithin_, S.StopWithin_, S.FlowLimit_,
+                    S.ColdOver_, S.ColdSlack_);
   };
   return Fields(A) == Fields(B);
 }
@@ -49,6 +54,8 @@
   S.RoutingWithin_ = readMs(Reader, "routing_within_ms");
   S.StopWithin_ = readMs(Reader, "stop_within_ms");
   S.FlowLimit_ = readMs(Reader, "flow_limit_ms");
+  S.ColdOver_ = Reader.numberOr("cold_over", 1, 0, MostColdOver);
+  S.ColdSlack_ = Reader.numberOr("cold_slack", 0, 0, MostColdSlack);
   Reader.finish();
   if (!Found.empty())
     return boost::leaf::new_error(Found.all());
--- a/src/routing.cc
+++ b/src/routing.cc
@@ -27,6 +27,11 @@
   return Known == Addresses_.end() ? nullptr : &Known->second;
 }
 
+double RoutingTable::coldPerSecond(ServiceId Id) const {
+  auto Known = ColdPerSecond_.find(raw(Id));
+  return Known == ColdPerSecond_.end() ? 0 : Known->second;
+}
+
 std::string RoutingTable::nameOf(ServiceId Id) const {
   auto Known = ServiceNames_.find(raw(Id));
   return Known == ServiceNames_.end() ? std::to_string(raw(Id)) : Known->second;
--- /dev/null
+++ b/test/cold-fleet.cc
@@ -0,0 +1,231 @@
+#include "cold-fleet.h"
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <random>
+
+namespace thymewall::test {
+
+namespace {
+
+/// One way's openings take between these to arrive.
+constexpr double NearMs = 0.1;
+constexpr double FarMs = 2.0;
+/// How much of its cold time an upstream of the ramp has left at the begin.
+constexpr double RampSeconds = 5;
+
+std::uint64_t nameOfBalancer(std::size_t Which) {
+  return hashPair(Which, 0x6c62);
+}
+
+Incarnation coldUpstream(std::size_t Which) { return Incarnation{Which + 1}; }
+
+/// A balancer's state for whichever way is played.
+struct Balancer {
+  ColdAdmission Owners_;
+  std::vector<double> TokenAt_; ///< Of each cold upstream: when the next comes.
+  std::size_t Members_ = 1;     ///< Believed in, itself among them.
+  double PresentFrom_ = -100;
+};
+
+class Model {
+public:
+  Model(const ColdScenario &Scenario, ColdWay Way, std::uint64_t Seed)
+      : S_(Scenario), Way_(Way), Random_(Seed), Fleet_(S_.Balancers_),
+        Arrivals_(S_.Cold_) {
+    for (std::size_t Which = 0; Which < Fleet_.size(); ++Which)
+      start(Which,
+            S_.Belief_ == FleetBelief::Added && isNew(Which) ? -4 : -100);
+  }
+
+  ColdOutcome run(double For) {
+    double Rate = static_cast<double>(Fleet_.size()) * S_.FlowsPerBalancer_;
+    std::exponential_distribution<double> Gap(Rate);
+    std::uniform_int_distribution<std::size_t> Any(0, Fleet_.size() - 1);
+    double NextRestart = 1;
+    std::size_t Restarts = 0;
+    for (Now_ = 0; Now_ < For; Now_ += Gap(Random_)) {
+      while (S_.Belief_ == FleetBelief::Restarted && Now_ > NextRestart) {
+        if (Restarts < Fleet_.size() / 3)
+          start(Restarts++, Now_);
+        NextRestart += 0.02;
+      }
+      open(Any(Random_));
+    }
+    return outcome(For);
+  }
+
+private:
+  bool isNew(std::size_t Which) const { return Which >= Fleet_.size() / 2; }
+
+  /// Whether a balancer has heard of another one.
+  bool hearsOf(std::size_t Which, std::size_t Other) {
+    std::uniform_real_distribution<double> Draw(0, 1);
+    switch (S_.Belief_) {
+    case FleetBelief::Alike:
+    case FleetBelief::Restarted:
+    case FleetBelief::Halved:
+      return true;
+    case FleetBelief::Apart:
+      return isNew(Which) == isNew(Other);
+    case FleetBelief::Added:
+      return isNew(Which) ? Draw(Random_) < 0.5 : !isNew(Other);
+    case FleetBelief::Partial:
+      return Draw(Random_) < 0.4;
+    }
+    return false;
+  }
+
+  void start(std::size_t Which, double At) {
+    Balancer &B = Fleet_[Which];
+    B = Balancer{};
+    B.TokenAt_.assign(S_.Cold_, 0);
+    B.PresentFrom_ = At;
+    FleetView View;
+    View.Self_ = nameOfBalancer(Which);
+    for (std::size_t Other = 0; Other < Fleet_.size(); ++Other)
+      if (Other != Which && hearsOf(Which, Other))
+        View.Others_.push_back(nameOfBalancer(Other));
+    B.Members_ = View.Others_.size() + 1;
+    View.Settled_ = true;
+    Views_.resize(Fleet_.size());
+    Views_[Which] = View;
+  }
+
+  void open(std::size_t Which) {
+    ++Flows_;
+    std::size_t All = S_.Warm_ + S_.Cold_;
+    std::uniform_int_distribution<std::size_t> Any(0, All - 1);
+    switch (Way_) {
+    case ColdWay::Ramp: {
+      std::size_t One = Any(Random_);
+      std::size_t Two = Any(Random_);
+      bool Takes = One >= S_.Cold_ || ramp();
+      return send(Which, Takes ? One : Two);
+    }
+    case ColdWay::Bucket:
+    case ColdWay::Owners:
+    case ColdWay::Weight:
+      break;
+    }
+    std::size_t First = Any(Random_);
+    for (std::size_t I = 0; I < S_.Cold_; ++I) {
+      std::size_t Cold = (First + I) % S_.Cold_;
+      if (admits(Which, Cold))
+        return send(Which, Cold);
+    }
+    if (S_.Warm_ == 0)
+      ++Rejected_;
+  }
+
+  bool ramp() {
+    std::uniform_real_distribution<double> Draw(0, 1);
+    return Draw(Random_) <= std::max(Now_ / RampSeconds, 0.1);
+  }
+
+  bool admits(std::size_t Which, std::size_t Cold) {
+    Balancer &B = Fleet_[Which];
+    if (Way_ == ColdWay::Bucket) {
+      if (Now_ < B.TokenAt_[Cold])
+        return false;
+      B.TokenAt_[Cold] =
+          Now_ + static_cast<double>(B.Members_) / S_.Limit_.PerSecond_;
+      return true;
+    }
+    if (Way_ == ColdWay::Weight) {
+      std::uniform_real_distribution<double> Draw(0, 1);
+      double Whole = S_.FlowsPerBalancer_ * static_cast<double>(B.Members_);
+      return Draw(Random_) < S_.Limit_.PerSecond_ / Whole;
+    }
+    MonoTime At(Micros(static_cast<Micros::rep>((Now_ + 1000) * 1e6)));
+    Views_[Which].Settled_ = Now_ - B.PresentFrom_ >= 3;
+    B.Owners_.setFleet(Views_[Which]);
+    if (!B.Owners_.admits(At, coldUpstream(Cold), S_.Limit_))
+      return false;
+    B.Owners_.opened(At, coldUpstream(Cold), S_.Limit_);
+    return true;
+  }
+
+  void send(std::size_t, std::size_t Upstream) {
+    if (Upstream >= S_.Cold_)
+      return;
+    std::uniform_real_distribution<double> Delay(NearMs, FarMs);
+    Arrivals_[Upstream].push_back(Now_ + Delay(Random_) / 1000);
+  }
+
+  ColdOutcome outcome(double For) {
+    ColdOutcome Result;
+    std::size_t Taken = 0;
+    for (std::vector<double> &At : Arrivals_) {
+      std::sort(At.begin(), At.end());
+      Taken += At.size();
+      std::size_t Begin = 0;
+      for (std::size_t End = 0; End < At.size(); ++End) {
+        while (At[End] - At[Begin] > 1)
+          ++Begin;
+        double Count = static_cast<double>(End - Begin + 1);
+        Result.Fullest_ = std::max(Result.Fullest_, Count / S_.Limit_.most());
+      }
+    }
+    double Bears = S_.Limit_.PerSecond_ * For * static_cast<double>(S_.Cold_);
+    Result.Used_ = static_cast<double>(Taken) / Bears;
+    Result.Rejected_ =
+        static_cast<double>(Rejected_) / static_cast<double>(Flows_);
+    return Result;
+  }
+
+  ColdScenario S_;
+  ColdWay Way_;
+  std::mt19937_64 Random_;
+  std::vector<Balancer> Fleet_;
+  std::vector<FleetView> Views_;
+  std::vector<std::vector<double>> Arrivals_;
+  double Now_ = 0;
+  std::size_t Flows_ = 0;
+  std::size_t Rejected_ = 0;
+};
+
+} // namespace
+
+ColdOutcome play(const ColdScenario &Scenario, ColdWay Way, double For,
+                 std::uint64_t Seed) {
+  ColdScenario S = Scenario;
+  if (S.Belief_ == FleetBelief::Halved)
+    S.Balancers_ /= 2;
+  return Model(S, Way, Seed).run(For);
+}
+
+std::string nameOf(ColdWay Way) {
+  switch (Way) {
+  case ColdWay::Ramp:
+    return "ramp";
+  case ColdWay::Bucket:
+    return "bucket";
+  case ColdWay::Owners:
+    return "owners";
+  case ColdWay::Weight:
+    return "weight";
+  }
+  return "";
+}
+
+std::string nameOf(FleetBelief Which) {
+  switch (Which) {
+  case FleetBelief::Alike:
+    return "alike";
+  case FleetBelief::Halved:
+    return "halved";
+  case FleetBelief::Apart:
+    return "apart";
+  case FleetBelief::Added:
+    return "added";
+  case FleetBelief::Partial:
+    return "partial";
+  case FleetBelief::Restarted:
+    return "restarted";
+  }
+  return "";
+}
+
+} // namespace thymewall::test
--- a/test/packet-settings-test.cc
+++ b/test/packet-settings-test.cc
@@ -81,3 +81,16 @@
         std::vector<std::string>{"packets"});
   CHECK(needRestart(parsed(good()), parsed(good())).empty());
 }
+
+TEST_CASE("what a cold upstream may get beyond its limit is optional") {
+  CHECK(parsed(good()).ColdOver_ == 1);
+  Json Given = good();
+  Given["cold_over"] = 1.5;
+  Given["cold_slack"] = 5;
+  PacketSettings S = parsed(Given);
+  CHECK(S.ColdOver_ == 1.5);
+  CHECK(S.ColdSlack_ == 5);
+  Given["cold_over"] = -1;
+  REQUIRE(problems(Given).size() == 1);
+  CHECK(problems(Given)[0].Key_ == "cold_over");
+}
--- a/test/published-test.cc
+++ b/test/published-test.cc
@@ -120,6 +120,24 @@
   CHECK(A.Changes_[0].Incarnation_ == Incarnation{5});
 }
 
+TEST_CASE("limits of cold upstreams, of which 0 is none") {
+  Json Document = configuration();
+  Document["backends"][0]["warmup-per-s"] = 2.5;
+  Document["backends"][1]["warmup-per-s"] = 0.0;
+  StoreAnswer A = decode(
+      {{"items", {item("op/config", Document, 12)}}, {"store-revision", 15}});
+  REQUIRE(A.Routing_);
+  CHECK(A.Routing_->coldPerSecond(static_cast<ServiceId>(nameId("index"))) ==
+        2.5);
+  CHECK(A.Routing_->ColdPerSecond_.size() == 1);
+  Document["backends"][0]["warmup-per-s"] = -1;
+  A = decode(
+      {{"items", {item("op/config", Document, 12)}}, {"store-revision", 15}});
+  CHECK_FALSE(A.Routing_);
+  REQUIRE(A.Refused_.size() == 1);
+  CHECK(A.Refused_[0] == "op/config: service 'index' has a cold limit below 0");
+}
+
 TEST_CASE("evacuated data halls") {
   Json Gone = {{"key-file", "op/evacuate/ams-hall-b"},
                {"revision", 23},
