--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -73,6 +73,7 @@
     Gone,
     Ejected,
     Stalled, ///< It leaves more requests unanswered than chance explains.
+    Failing, ///< It gives more short answers than chance explains.
     Checked, ///< It was suspected, and lives.
     Dead     ///< Its flows are given up.
   };
@@ -80,8 +81,8 @@
   Incarnation Upstream_{};
   Endpoint At_;
   Revision Revision_ = 0;
-  /// Unanswered requests that led to `Stalled`, and how many were needed.
-  std::size_t Unanswered_ = 0;
+  /// Requests that led to `Stalled` or `Failing`, and how many were needed.
+  std::size_t Evidence_ = 0;
   std::size_t Needed_ = 0;
 };
 using BeliefHook = std::function<void(const Belief &)>;
@@ -124,6 +125,7 @@
   std::uint64_t Checks_ = 0;
   std::uint64_t Dead_ = 0; ///< Upstreams held to be dead.
   std::uint64_t Stalled_ = 0;
+  std::uint64_t Failing_ = 0;
   std::uint64_t LateWakes_ = 0;
 };
 
@@ -204,7 +206,8 @@
   /// A peer has evidence against an upstream. A dead one is checked here too,
   /// at the next tick. One that left a peer's request unanswered gets no new
   /// flows for a while, unless it has just answered here; while flows are moved
-  /// it takes more requests than chance explains, two at least.
+  /// it takes more requests than chance explains, two at least. So it does
+  /// always for one whose answers are short.
   void warned(MonoTime Now, const UpstreamWarning &M);
   /// All that was published up to \p AsOf is known.
   void confirm(MonoTime AsOf);
@@ -212,6 +215,8 @@
   /// flow's next packet comes to another balancer, so that silence here says
   /// nothing of an upstream.
   void setServing(bool Serving);
+  /// How many balancers share the callers, this one among them.
+  void setFleetSize(std::size_t Balancers);
   /// A balancer has come \p At, so that the fabric leads flows from others to
   /// it: silence within `SettlesWithin` may be theirs.
   void arrived(MonoTime At);
--- a/include/thymewall/silence-evidence.h
+++ b/include/thymewall/silence-evidence.h
@@ -48,10 +48,12 @@
   /// Requests that it takes to believe that the upstream hangs, given how many
   /// of the other \p Members of its service are silent too.
   std::size_t needed(MonoTime Now, std::uint32_t Upstream,
-                     const std::vector<std::uint32_t> &Members) const;
+                     const std::vector<std::uint32_t> &Members,
+                     double FalselyTaken = FalseShare) const;
   /// The same for \p Silent silent ones among \p Others: if silence fell on all
-  /// alike, at most `FalseShare` of them would have so many requests.
-  static std::size_t neededAmong(std::size_t Others, std::size_t Silent);
+  /// alike, at most \p FalselyTaken of them would have so many requests.
+  static std::size_t neededAmong(std::size_t Others, std::size_t Silent,
+                                 double FalselyTaken = FalseShare);
 
 private:
   struct Request {
--- a/include/thymewall/upstream-warning.h
+++ b/include/thymewall/upstream-warning.h
@@ -10,13 +10,14 @@
 
 struct UpstreamWarning {
   enum class Kind : std::uint8_t {
-    Dead,   ///< A check proved it to the balancer that tells.
-    Stalled ///< It has left a request unanswered.
+    Dead,    ///< A check proved it to the balancer that tells.
+    Stalled, ///< It has left a request unanswered.
+    Failing  ///< It has answered a request by far too little.
   };
   Incarnation Upstream_{};
   Kind Kind_ = Kind::Dead;
-  /// The flow of the unanswered request: what tells one piece of evidence from
-  /// another. None for a dead one.
+  /// The flow of the request: what tells one piece of evidence from another.
+  /// None for a dead one.
   FlowId Flow_{};
 };
 inline bool operator==(const UpstreamWarning &A, const UpstreamWarning &B) {
--- a/src/mechanism.h
+++ b/src/mechanism.h
@@ -27,6 +27,7 @@
   OpeningRetries,  ///< Unanswered openings go to another upstream.
   OpeningEjection, ///< Upstreams that answer no opening get no more.
   Stalls,          ///< Upstreams that answer no request get no more.
+  AnswerSizes,     ///< Upstreams that answer by errors get no more.
   CommonSilence,   ///< Silence of all upstreams alike speaks against none.
   GradualReturn,   ///< After a stall few flows come back at first.
   Checks,          ///< Silent upstreams are checked, and their flows reset.
--- a/src/news-message.cc
+++ b/src/news-message.cc
@@ -213,7 +213,7 @@
   M.Upstream_ = static_cast<Incarnation>(J.at(1).get<std::uint64_t>());
   M.Flow_ = static_cast<FlowId>(J.at(2).get<std::uint64_t>());
   auto Kind = J.at(3).get<std::uint8_t>();
-  if (Kind > raw(UpstreamWarning::Kind::Stalled))
+  if (Kind > raw(UpstreamWarning::Kind::Failing))
     throw std::invalid_argument("unknown kind of warning");
   M.Kind_ = static_cast<UpstreamWarning::Kind>(Kind);
   return M;
--- a/src/packet-balancer-evidence.cc
+++ b/src/packet-balancer-evidence.cc
@@ -2,6 +2,7 @@
 #include "packet-balancer-impl.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace thymewall {
 
@@ -32,6 +33,17 @@
 /// While flows are moved it takes so many of peers' unanswered requests at
 /// least: what one balancer saw once must not be what all of them believe.
 constexpr std::size_t NeededOfPeers = 2;
+/// Right answers may be short once in a while: one is never enough.
+constexpr std::size_t ShortToFail = 2;
+/// The first verdict takes this share of the answers that an upstream gives in
+/// `SilenceEvidence::CountsFor`. One that turns callers away because its queue
+/// is full still serves most; put aside for that, it leaves its load to others,
+/// whose queues fill in turn (twice the usual load, worth .981 to .973).
+constexpr double FailingShare = 0.12;
+/// Full queues give each upstream a short answer now and then: this share of
+/// them may be put aside by chance. A fortieth of a service, as for silence,
+/// would add to the load of the others twice a second.
+constexpr double FalselyFailing = 0.0005;
 
 Micros recheckPause(std::uint32_t Rechecks) {
   Micros Pause = FirstRecheck;
@@ -89,6 +101,8 @@
   Detail &D = Details_[Index];
   if (M.Kind_ == UpstreamWarning::Kind::Dead)
     D.CheckWanted_ = true;
+  else if (M.Kind_ == UpstreamWarning::Kind::Failing)
+    noteFailing(Index, M.Flow_, false);
   else if (Now - D.AnswerAt_ > stallLimit(Index).value_or(StalledAfter))
     noteUnanswered(Index, M.Flow_, false);
 }
@@ -112,6 +126,9 @@
 
 void PacketBalancer::Impl::noteStalls() {
   Evidence_.expire(Now_);
+  ShortAnswers_.expire(Now_);
+  for (auto &[Id, Of] : Services_)
+    Of.RecentAnswers_.tick();
   for (std::uint32_t Index = 0; Index < Details_.size(); ++Index) {
     std::vector<WaitingRequest> &Waiting = Details_[Index].Waiting_;
     if (!Serving_) // the answer is seen by another balancer
@@ -154,7 +171,8 @@
   std::size_t Needed = neededAgainst(Index, SeenHere);
   std::size_t Unanswered = Evidence_.against(Now_, Index);
   if (Unanswered >= Needed)
-    setStalled(Index, Unanswered, Needed);
+    putAside(Index, Belief::Kind::Stalled, Details_[Index].Stalls_, Unanswered,
+             Needed);
 }
 
 /// While no balancer comes a request is evidence by itself: of a service
@@ -170,14 +188,61 @@
   return SeenHere ? Needed : std::max(Needed, NeededOfPeers);
 }
 
+/// The caller has acknowledged an answer to the request of \p Row.
+void PacketBalancer::Impl::judgeAnswer(const PacketFlowRow &Row,
+                                       const Packet &P) {
+  if (!has(Mechanism::AnswerSizes))
+    return;
+  Services_[raw(Details_[Row.Upstream_].Service_)].RecentAnswers_.add();
+  std::uint32_t Bytes = P.Acknowledged_ - Row.Acknowledged_;
+  if (Sizes_.isShort(P.Service_, Bytes))
+    noteFailing(Row.Upstream_, Row.Flow_, true);
+  else
+    Details_[Row.Upstream_].Failings_ = 0;
+}
+
+/// An upstream gave a short answer, here or at a peer. Judged against the rest
+/// of its service: where all give such answers, it is no fault of one.
+void PacketBalancer::Impl::noteFailing(std::uint32_t Index, FlowId Flow,
+                                       bool SeenHere) {
+  if (Upstreams_[Index].EjectedUntil_ > Now_)
+    return; // what was under way there tells nothing new
+  if (!ShortAnswers_.add(Now_, Index, Flow))
+    return;
+  if (SeenHere && Options_.OnWarning_)
+    Options_.OnWarning_(
+        {Upstreams_[Index].Incarnation_, UpstreamWarning::Kind::Failing, Flow});
+  Detail &D = Details_[Index];
+  auto Of = Services_.find(raw(D.Service_));
+  if (Of == Services_.end())
+    return;
+  std::size_t Chance =
+      ShortAnswers_.needed(Now_, Index, Of->second.Members_, FalselyFailing);
+  std::size_t Needed = std::max(Chance, ShortToFail);
+  if (D.Failings_ == 0)
+    Needed = std::max(Needed, static_cast<std::size_t>(std::ceil(
+                                  FailingShare * usualAnswers(Of->second))));
+  std::size_t Evidence = ShortAnswers_.against(Now_, Index);
+  if (Evidence >= Needed)
+    putAside(Index, Belief::Kind::Failing, D.Failings_, Evidence, Needed);
+}
+
+/// How many answers the whole fleet has of one upstream of a service in
+/// `SilenceEvidence::CountsFor`, judged by those that pass here.
+double PacketBalancer::Impl::usualAnswers(const ServiceState &Of) const {
+  std::size_t Upstreams = std::max<std::size_t>(Of.Eligible_.size(), 1);
+  return static_cast<double>(Of.RecentAnswers_.count() * FleetSize_) /
+         static_cast<double>(Upstreams);
+}
+
 /// A soft judgement: other upstreams take the new flows, nothing is reset.
-void PacketBalancer::Impl::setStalled(std::uint32_t Index,
-                                      std::size_t Unanswered,
-                                      std::size_t Needed) {
+void PacketBalancer::Impl::putAside(std::uint32_t Index, Belief::Kind Why,
+                                    std::uint32_t &InARow, std::size_t Evidence,
+                                    std::size_t Needed) {
   Detail &D = Details_[Index];
-  std::uint32_t Times = std::min(LongestStall, 1U << std::min(D.Stalls_, 8U));
-  ++D.Stalls_;
-  ++Counters_.Stalled_;
+  std::uint32_t Times = std::min(LongestStall, 1U << std::min(InARow, 8U));
+  ++InARow;
+  ++(Why == Belief::Kind::Stalled ? Counters_.Stalled_ : Counters_.Failing_);
   Upstreams_.eject(Index, Now_ + StallEjection * Times);
   // Else every balancer of a fleet gives it flows again in one moment, and an
   // upstream that still hangs costs as many requests as at first. Gain: 2,028
@@ -185,9 +250,8 @@
   if (has(Mechanism::GradualReturn))
     Upstreams_.warmFrom(Index, Upstreams_[Index].EjectedUntil_);
   if (Options_.OnBelief_)
-    Options_.OnBelief_({Belief::Kind::Stalled, Upstreams_[Index].Incarnation_,
-                        Upstreams_[Index].At_, D.Revision_, Unanswered,
-                        Needed});
+    Options_.OnBelief_({Why, Upstreams_[Index].Incarnation_,
+                        Upstreams_[Index].At_, D.Revision_, Evidence, Needed});
 }
 
 void PacketBalancer::Impl::setAlive(std::uint32_t Index) {
@@ -250,6 +314,7 @@
 void PacketBalancer::Impl::forgetBeliefs() {
   Upstreams_.forgetBeliefs();
   Evidence_.clearAll();
+  ShortAnswers_.clearAll();
   for (std::uint32_t Index = 0; Index < Details_.size(); ++Index) {
     Details_[Index].Waiting_.clear();
     if (Details_[Index].Ended_)
--- a/src/packet-balancer-flows.cc
+++ b/src/packet-balancer-flows.cc
@@ -85,6 +85,8 @@
   bool Answered = Row->Open_ && Progress;
   if (Answered)
     noteAnswer(Index);
+  if (Answered && Row->InProgress_ && !P.Resets_)
+    judgeAnswer(*Row, P);
   if (P.Finishes_ || P.Resets_)
     return endFlow(*Row);
   bool SentAgain = !Progress && Row->InProgress_ && P.DataSize_ > 0 &&
--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -8,6 +8,8 @@
 
 #include "observed-delay.h"
 #include "packet-flow.h"
+#include "recent-count.h"
+#include "thymewall/answer-sizes.h"
 #include "thymewall/packet-balancer.h"
 #include "thymewall/silence-evidence.h"
 
@@ -47,6 +49,7 @@
   void warned(MonoTime Now, const UpstreamWarning &M);
   void confirm(MonoTime AsOf) { KnownAsOf_ = std::max(KnownAsOf_, AsOf); }
   void setServing(bool Serving) { Serving_ = Serving; }
+  void setFleetSize(std::size_t Balancers) { FleetSize_ = Balancers; }
   void arrived(MonoTime At) {
     UnsettledUntil_ = std::max(UnsettledUntil_, At + SettlesWithin);
   }
@@ -86,6 +89,7 @@
     std::vector<WaitingRequest> Waiting_;
     MonoTime AnswerAt_{};
     std::uint32_t Stalls_ = 0;   ///< In a row.
+    std::uint32_t Failings_ = 0; ///< In a row.
     bool CheckWanted_ = false;   ///< At the next tick: a peer found it dead.
     MonoTime NextCheckAt_{};     ///< Not checked before, whatever is suspected.
     MonoTime RecheckAt_{};       ///< While it is dead.
@@ -105,6 +109,7 @@
     MonoTime WarmAt_ = MonoTime::max();
     Version Routing_ = 0;           ///< Whose limits were applied.
     detail::ObservedDelay Answers_; ///< From request to acknowledged answer.
+    detail::RecentCount RecentAnswers_;
     std::uint64_t Generation_ = 0;
   };
 
@@ -149,10 +154,13 @@
   void noteAnswer(std::uint32_t Index);
   void noteStalls();
   std::optional<Micros> stallLimit(std::uint32_t Index) const;
+  double usualAnswers(const ServiceState &Of) const;
+  void judgeAnswer(const detail::PacketFlowRow &Row, const Packet &P);
+  void noteFailing(std::uint32_t Index, FlowId Flow, bool SeenHere);
   void noteUnanswered(std::uint32_t Index, FlowId Flow, bool SeenHere);
   std::size_t neededAgainst(std::uint32_t Index, bool SeenHere) const;
-  void setStalled(std::uint32_t Index, std::size_t Unanswered,
-                  std::size_t Needed);
+  void putAside(std::uint32_t Index, Belief::Kind Why, std::uint32_t &InARow,
+                std::size_t Evidence, std::size_t Needed);
   std::uint32_t indexOf(Incarnation Which) const;
   void setAlive(std::uint32_t Index);
   void setDead(std::uint32_t Index);
@@ -187,6 +195,9 @@
   bool ListKnown_ = false;
   bool Serving_ = true;
   SilenceEvidence Evidence_;
+  SilenceEvidence ShortAnswers_;
+  AnswerSizes Sizes_;
+  std::size_t FleetSize_ = 1;
   detail::ObservedDelay Openings_; ///< From opening to acknowledged answer.
 };
 
--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -152,6 +152,7 @@
     HolderOf_.erase(Holder);
   leaveService(Index);
   Evidence_.clear(Index);
+  ShortAnswers_.clear(Index);
   Cold_.forget(Upstreams_[Index].Incarnation_);
   Upstreams_.release(Index);
   D = Detail{};
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -319,6 +319,9 @@
 }
 void PacketBalancer::confirm(MonoTime AsOf) { Impl_->confirm(AsOf); }
 void PacketBalancer::setServing(bool Serving) { Impl_->setServing(Serving); }
+void PacketBalancer::setFleetSize(std::size_t Balancers) {
+  Impl_->setFleetSize(Balancers);
+}
 void PacketBalancer::arrived(MonoTime At) { Impl_->arrived(At); }
 void PacketBalancer::tick(MonoTime Now) { Impl_->tick(Now); }
 void PacketBalancer::setFleet(FleetView View) {
--- a/src/packet-log.cc
+++ b/src/packet-log.cc
@@ -36,6 +36,8 @@
     return "upstream_ejected";
   case Belief::Kind::Stalled:
     return "upstream_stalled";
+  case Belief::Kind::Failing:
+    return "upstream_failing";
   case Belief::Kind::Checked:
     return "upstream_checked";
   case Belief::Kind::Dead:
@@ -94,8 +96,12 @@
   LogFields Fields = {{"upstream", formatIncarnation(B.Upstream_)},
                       {"address", formatEndpoint(B.At_)},
                       {"revision", B.Revision_}};
-  if (B.Kind_ == Belief::Kind::Stalled) {
-    Fields.emplace_back("unanswered", B.Unanswered_);
+  bool Judged =
+      B.Kind_ == Belief::Kind::Stalled || B.Kind_ == Belief::Kind::Failing;
+  if (Judged) {
+    Fields.emplace_back(B.Kind_ == Belief::Kind::Stalled ? "unanswered"
+                                                         : "short_answers",
+                        B.Evidence_);
     Fields.emplace_back("needed", B.Needed_);
   }
   logDecision(eventOf(B.Kind_), Fields);
--- a/src/packet-pages.cc
+++ b/src/packet-pages.cc
@@ -26,6 +26,7 @@
       {"upstream_checks", C.Checks_},
       {"upstreams_dead", C.Dead_},
       {"upstreams_stalled", C.Stalled_},
+      {"upstreams_failing", C.Failing_},
       {"late_wakes", C.LateWakes_},
       {"malformed", R.Malformed_},
       {"heartbeats_sent", R.News_.HeartbeatsSent_},
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -155,6 +155,7 @@
     News_.tick(Now);
     noteHall(Now);
     Core_.setServing(ready());
+    Core_.setFleetSize(News_.fleetSize());
     if (Core_.limitsCold())
       Core_.setFleet(News_.fleetView(Now));
     Core_.tick(Now);
--- a/src/silence-evidence.cc
+++ b/src/silence-evidence.cc
@@ -37,9 +37,9 @@
                     [Now](const Request &R) { return R.CountsUntil_ > Now; }));
 }
 
-std::size_t
-SilenceEvidence::needed(MonoTime Now, std::uint32_t Upstream,
-                        const std::vector<std::uint32_t> &Members) const {
+std::size_t SilenceEvidence::needed(MonoTime Now, std::uint32_t Upstream,
+                                    const std::vector<std::uint32_t> &Members,
+                                    double FalselyTaken) const {
   std::size_t Others = 0;
   std::size_t Silent = 0;
   for (std::uint32_t Member : Members) {
@@ -49,11 +49,11 @@
     if (against(Now, Member) > 0)
       ++Silent;
   }
-  return neededAmong(Others, Silent);
+  return neededAmong(Others, Silent, FalselyTaken);
 }
 
-std::size_t SilenceEvidence::neededAmong(std::size_t Others,
-                                         std::size_t Silent) {
+std::size_t SilenceEvidence::neededAmong(std::size_t Others, std::size_t Silent,
+                                         double FalselyTaken) {
   // Half an upstream more, so that silence of all is not without bound.
   double Clean = (static_cast<double>(Others - Silent) + 0.5) /
                  (static_cast<double>(Others) + 0.5);
@@ -63,7 +63,7 @@
   double Exactly = Clean; // the chance of no request
   double Tail = 1 - Exactly;
   std::size_t Needed = 1;
-  while (Tail > FalseShare && Needed < Kept) {
+  while (Tail > FalselyTaken && Needed < Kept) {
     Exactly *= Mean / static_cast<double>(Needed);
     Tail -= Exactly;
     ++Needed;
