--- a/test/news-test.cc
+++ b/test/news-test.cc
@@ -205,16 +205,36 @@
 }
 
 TEST_CASE("a warning survives its codec, and one of an unknown kind does not") {
-  UpstreamWarning Stalled{Incarnation{~std::uint64_t{0}},
-                          UpstreamWarning::Kind::Stalled};
+  using Kind = UpstreamWarning::Kind;
   NewsMessage Out;
-  std::string Bytes = encodeNews(Stalled, MonoTime{});
-  REQUIRE(decodeNews(Bytes, MonoTime{}, Out) == ErrorKind::None);
-  CHECK(std::get<UpstreamWarning>(Out) == Stalled);
-  Bytes.back() = 2;
+  std::string Bytes;
+  for (Kind Which : {Kind::Dead, Kind::Stalled, Kind::Failing}) {
+    UpstreamWarning Warning{Incarnation{~std::uint64_t{0}}, Which};
+    Bytes = encodeNews(Warning, MonoTime{});
+    REQUIRE(decodeNews(Bytes, MonoTime{}, Out) == ErrorKind::None);
+    CHECK(std::get<UpstreamWarning>(Out) == Warning);
+  }
+  Bytes.back() = raw(Kind::Failing) + 1;
   CHECK(decodeNews(Bytes, MonoTime{}, Out) == ErrorKind::Malformed);
 }
 
+TEST_CASE("evacuated halls and limits of cold upstreams survive their codec") {
+  auto Table = std::make_shared<RoutingTable>();
+  Table->Version_ = 3;
+  Table->ColdPerSecond_[7] = 2.5;
+  News Told;
+  Told.Routing_ = Table;
+  Told.Evacuations_ = {true, 9, {{"hall-a", 4, true}, {"hall-b", 9, true}}};
+  NewsMessage Out;
+  REQUIRE(decodeNews(encodeNews(Told, MonoTime{}), MonoTime{}, Out) ==
+          ErrorKind::None);
+  const News &Heard = std::get<News>(Out);
+  CHECK(Heard.Routing_->coldPerSecond(ServiceId{7}) == 2.5);
+  CHECK(Heard.Evacuations_.Whole_);
+  CHECK(Heard.Evacuations_.Through_ == 9);
+  CHECK(Heard.Evacuations_.Changes_ == Told.Evacuations_.Changes_);
+}
+
 TEST_CASE("messages between balancers survive their codec") {
   MonoTime Now(20s);
   auto Table = std::make_shared<RoutingTable>();
