--- a/src/declaration.cc
+++ b/src/declaration.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <boost/leaf/error.hpp>
-#include <unordered_set>
 #include <xxhash.h>
 
 namespace thymewall {
@@ -13,60 +12,13 @@
 using detail::ObjectReader;
 using detail::ProblemList;
 
-bool matches(const Term &T, const Labels &L) {
-  auto Found = L.find(T.Key_);
-  bool Present = Found != L.end();
-  bool Listed = Present && std::find(T.Values_.begin(), T.Values_.end(),
-                                     Found->second) != T.Values_.end();
-  switch (T.Operator_) {
-  case Term::Operator::In:
-    return Listed;
-  case Term::Operator::NotIn:
-    return !Listed;
-  case Term::Operator::Exists:
-    return Present;
-  case Term::Operator::Absent:
-    return !Present;
-  }
-  return false;
-}
-
 namespace {
 
-constexpr std::uint8_t DaysInWeek = 7;
 constexpr std::uint16_t MinutesInDay = 24 * 60;
 constexpr std::int64_t MaxDeadlineMs = 60'000;
 const char *const DayNames[] = {"sun", "mon", "tue", "wed",
                                 "thu", "fri", "sat"};
 
-bool onDay(const Window &W, int Weekday) {
-  return ((W.Days_ >> ((Weekday + DaysInWeek) % DaysInWeek)) & 1) != 0;
-}
-
-} // namespace
-
-bool contains(const Window &W, LocalMinute Local) {
-  if (W.From_ < W.To_)
-    return onDay(W, Local.Weekday_) && Local.Minute_ >= W.From_ &&
-           Local.Minute_ < W.To_;
-  if (Local.Minute_ >= W.From_)
-    return onDay(W, Local.Weekday_);
-  return Local.Minute_ < W.To_ && onDay(W, Local.Weekday_ - 1);
-}
-
-const Service *Declaration::service(ServiceId Id) const {
-  for (const Service &S : Services_)
-    if (S.Id_ == Id)
-      return &S;
-  return nullptr;
-}
-
-bool supersedes(const Declaration &A, const Declaration &B) {
-  return std::tie(A.Version_, A.Digest_) > std::tie(B.Version_, B.Digest_);
-}
-
-namespace {
-
 /// Reads one document into a declaration; one function a part.
 class Parser {
 public:
@@ -316,64 +268,6 @@
   return W;
 }
 
-bool active(const Selector &S, const ZoneClock &Zones, WallTime When) {
-  if (!S.Window_)
-    return true;
-  auto Local = Zones(S.Window_->Zone_, When);
-  return Local && contains(*S.Window_, *Local);
-}
-
-bool allMatch(const Selector &S, const Labels &L) {
-  return std::all_of(S.Terms_.begin(), S.Terms_.end(),
-                     [&](const Term &T) { return matches(T, L); });
-}
-
-bool isEvacuated(const Declaration &D, const Upstream &U) {
-  return D.EvacuatedHalls_.count(U.DataHall_) != 0;
-}
-
-using Selected = std::vector<std::vector<std::size_t>>;
-
-/// For each service, the indexes of its upstreams under the active selectors.
-Selected selectAll(const Declaration &D, const std::vector<bool> &Active) {
-  Selected Result(D.Services_.size());
-  for (std::size_t Index = 0; Index < D.Upstreams_.size(); ++Index)
-    for (std::size_t S = 0; S < D.Selectors_.size(); ++S) {
-      const Selector &Which = D.Selectors_[S];
-      const Upstream &U = D.Upstreams_[Index];
-      if (!Active[S] || !allMatch(Which, U.Labels_) || isEvacuated(D, U))
-        continue;
-      auto &Into = Result[Which.Service_];
-      if (Into.empty() || Into.back() != Index)
-        Into.push_back(Index);
-    }
-  return Result;
-}
-
-/// A name that nothing stands in is a mistake in writing.
-void checkEvacuated(const Declaration &D, ProblemList &Found) {
-  std::set<std::string> Named;
-  for (const Upstream &U : D.Upstreams_)
-    Named.insert(U.DataHall_);
-  for (const BalancerEntry &B : D.Balancers_)
-    Named.insert(B.DataHall_);
-  for (const std::string &DataHall : D.EvacuatedHalls_)
-    if (Named.count(DataHall) == 0)
-      Found.add("evacuated_data_halls",
-                "no upstream or balancer is in \"" + DataHall + "\"");
-}
-
-std::string minuteText(WallTime When) {
-  auto Seconds = static_cast<std::time_t>(
-      std::chrono::duration_cast<std::chrono::seconds>(When.time_since_epoch())
-          .count());
-  std::tm Parts{};
-  gmtime_r(&Seconds, &Parts);
-  char Text[32];
-  std::strftime(Text, sizeof Text, "%Y-%m-%dT%H:%MZ", &Parts);
-  return Text;
-}
-
 } // namespace
 
 boost::leaf::result<DeclarationPtr> parseDeclaration(std::string Text,
@@ -385,71 +279,4 @@
   return boost::leaf::new_error(P.problems());
 }
 
-std::string explain(const Declaration &D, const Service &S, const Upstream &U,
-                    const ZoneClock &Zones, WallTime When) {
-  if (isEvacuated(D, U))
-    return "data hall \"" + U.DataHall_ + "\" is evacuated";
-  std::string First;
-  for (const Selector &Which : D.Selectors_) {
-    if (&D.Services_[Which.Service_] != &S)
-      continue;
-    std::string Reason;
-    for (const Term &T : Which.Terms_)
-      if (Reason.empty() && !matches(T, U.Labels_))
-        Reason = "label \"" + T.Key_ + "\" does not match";
-    if (Reason.empty() && !active(Which, Zones, When))
-      Reason = "outside the selector's window";
-    if (Reason.empty())
-      return {};
-    if (First.empty())
-      First = Reason;
-  }
-  return First.empty() ? "the service has no selector" : First;
-}
-
-std::vector<std::size_t> eligible(const Declaration &D, const Service &S,
-                                  const ZoneClock &Zones, WallTime When) {
-  std::vector<bool> Active;
-  for (const Selector &Which : D.Selectors_)
-    Active.push_back(&D.Services_[Which.Service_] == &S &&
-                     active(Which, Zones, When));
-  auto Index = static_cast<std::size_t>(&S - D.Services_.data());
-  return selectAll(D, Active)[Index];
-}
-
-Problems checkWeek(const Declaration &D, const std::string &File,
-                   const ZoneClock &Zones, WallTime From) {
-  constexpr int MinutesInWeek = DaysInWeek * MinutesInDay;
-  ProblemList Found(File);
-  checkEvacuated(D, Found);
-  std::set<std::pair<std::string, std::string>> Told;
-  std::vector<bool> Last;
-  for (int Minute = 0; Minute < MinutesInWeek; ++Minute) {
-    WallTime When = From + std::chrono::minutes(Minute);
-    std::vector<bool> Active;
-    for (const Selector &S : D.Selectors_)
-      Active.push_back(active(S, Zones, When));
-    if (Minute != 0 && Active == Last)
-      continue;
-    Last = Active;
-    std::vector<int> Uses(D.Upstreams_.size(), 0);
-    Selected All = selectAll(D, Active);
-    for (std::size_t S = 0; S < All.size(); ++S) {
-      for (std::size_t Index : All[S])
-        ++Uses[Index];
-      const std::string &Name = D.Services_[S].Name_;
-      if (All[S].empty() && Told.emplace("services", Name).second)
-        Found.add("services." + Name,
-                  "has no upstream from " + minuteText(When));
-    }
-    for (std::size_t U = 0; U < Uses.size(); ++U) {
-      const std::string &Name = D.Upstreams_[U].Name_;
-      if (Uses[U] > 1 && Told.emplace("upstreams", Name).second)
-        Found.add("upstreams." + Name,
-                  "serves two services from " + minuteText(When));
-    }
-  }
-  return Found.all();
-}
-
 } // namespace thymewall
