--- a/test/answer-evidence-test.cc
+++ b/test/answer-evidence-test.cc
@@ -185,7 +185,11 @@
 
 TEST_CASE("on a calm day no upstream that is well is held to be failing, "
           "whatever it answers") {
-  const std::vector<std::pair<std::string, Sizes>> Mixes = {
+  struct Mix {
+    std::string Name_;
+    Sizes Right_;
+  };
+  const std::vector<Mix> Mixes = {
       {"of one size", [](std::mt19937_64 &) { return 797U; }},
       {"spread", metadata},
       {"spread widely",
@@ -198,10 +202,10 @@
          return R() % 300 == 0 ? ErrorBytes : metadata(R);
        }}};
   for (const Size &S : Fleets)
-    for (const auto &[Name, Right] : Mixes) {
+    for (const Mix &M : Mixes) {
       CAPTURE(S.Balancers_);
-      CAPTURE(Name);
-      Fleet F(S.Balancers_, S.Upstreams_, Right);
+      CAPTURE(M.Name_);
+      Fleet F(S.Balancers_, S.Upstreams_, M.Right_);
       F.run(20s, S.PerSecond_);
       // Chance may put one aside for 2 s.
       CHECK(F.verdicts().size() <= S.Upstreams_ / 100);
--- a/test/cold-admission-test.cc
+++ b/test/cold-admission-test.cc
@@ -17,6 +17,12 @@
     FleetBelief::Alike, FleetBelief::Halved,  FleetBelief::Apart,
     FleetBelief::Added, FleetBelief::Partial, FleetBelief::Restarted};
 
+struct Upstreams {
+  std::size_t Warm_;
+  std::size_t Cold_;
+};
+constexpr Upstreams Loads[] = {{119, 1}, {112, 8}, {80, 40}, {0, 40}};
+
 /// A view of a settled balancer that has heard of nobody.
 FleetView alone() { return {1, {}, true}; }
 
@@ -56,15 +62,13 @@
   for (std::size_t Balancers : {8U, 90U, 300U})
     for (double PerSecond : {2.0, 10.0, 50.0})
       for (FleetBelief Which : Beliefs)
-        for (auto [Warm, Cold] : {std::pair<std::size_t, std::size_t>{119, 1},
-                                  {112, 8},
-                                  {80, 40},
-                                  {0, 40}}) {
+        for (const Upstreams &U : Loads) {
           CAPTURE(Balancers);
           CAPTURE(PerSecond);
           CAPTURE(nameOf(Which));
-          CAPTURE(Cold);
-          ColdScenario S{Balancers, Warm, Cold, {PerSecond, 1.5, 5}, Which};
+          CAPTURE(U.Cold_);
+          ColdScenario S{
+              Balancers, U.Warm_, U.Cold_, {PerSecond, 1.5, 5}, Which};
           CHECK(play(S, ColdWay::Owners, 4, 7).Fullest_ <= 1.0);
         }
 }
