--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -82,8 +82,8 @@
 }
 
 /// Where an evacuation or the limit of cold upstreams is why nobody takes a
-/// flow, its caller is told at once;
-/// else upstreams may be published in a moment, and the opening waits.
+/// flow, its caller is told at once; else upstreams may be published in a
+/// moment, and the opening waits.
 ErrorKind PacketBalancer::Impl::whyNone(ServiceId Service) const {
   auto Known = Services_.find(raw(Service));
   if (Known == Services_.end() || !fresh())
