Entries of other writers name no upstream to use

Cause: the decoder took what the library converts: an unknown state counted as draining, a capacity of -1 became 4,294,967,295, true 1 and 2.5 2, a missing slow start 0 and one without bound was kept; an entry that turned unreadable left the one before in force; a key of another type spoiled its whole page. Change: one strict decoder. Each field must be there with its own type (born is optional: older upstreams lack it), within bounds; a bad entry whose key and revision can be read becomes a change without an entry, so that its upstream takes no new flow and keeps its open ones, as one that has left the list does. An item without a key or revision is left out alone. Each is a log line (bounded) and counted (thymewall_service_items_refused). Ruled out: dropping bad entries silently (the entry before would stay in force). Tests: test/published-test.cc, properties over each field missing or of eight other types, bytes that are no text, 1 MB; the case 'a bad item is left out by name' asked for one change where its two readable keys now name none: it checks all three.

--- a/include/thymewall/intent-reader.h
+++ b/include/thymewall/intent-reader.h
@@ -42,6 +42,7 @@
   RoutingTablePtr Routing_; ///< Null when it has not changed.
   UpstreamBatch Batch_;
   EvacuationBatch Evacuations_;
+  std::size_t RefusedItems_ = 0; ///< Published items that could not be read.
 };
 
 /// Decides when this process reads the configuration service.
--- a/src/packet-pages.cc
+++ b/src/packet-pages.cc
@@ -39,6 +39,7 @@
       {"peers", R.News_.Members_},
       {"service_calls", R.ServiceCalls_},
       {"service_failures", R.ServiceFailures_},
+      {"service_items_refused", R.RefusedItems_},
       {"reads_for_fleet", R.Reads_ ? 1U : 0U},
       {"log_lines_dropped", R.LogLinesDropped_}};
   for (std::size_t I = 1; I < C.Errors_.size(); ++I)
--- a/src/packet-pages.h
+++ b/src/packet-pages.h
@@ -24,6 +24,7 @@
   std::uint64_t Malformed_ = 0;
   std::uint64_t ServiceCalls_ = 0;
   std::uint64_t ServiceFailures_ = 0;
+  std::uint64_t RefusedItems_ = 0;
   std::uint64_t LogLinesDropped_ = 0;
   bool Reads_ = false; ///< Reads the configuration service for the fleet.
   const DelayMetrics *Delays_ = nullptr;
--- a/src/packet-process-control.cc
+++ b/src/packet-process-control.cc
@@ -72,6 +72,7 @@
   R.Malformed_ = Malformed_;
   R.ServiceCalls_ = ServiceCalls_;
   R.ServiceFailures_ = ServiceFailures_;
+  R.RefusedItems_ = RefusedItems_;
   R.LogLinesDropped_ = droppedLogLines();
   R.Reads_ = News_.readFrom() <= R.Now_;
   R.Delays_ = &Delays_;
--- a/src/packet-process-impl.h
+++ b/src/packet-process-impl.h
@@ -100,6 +100,7 @@
   std::uint64_t Malformed_ = 0;
   std::uint64_t ServiceCalls_ = 0;
   std::uint64_t ServiceFailures_ = 0;
+  std::uint64_t RefusedItems_ = 0; ///< Published ones that can't be read.
   bool ReadyTold_ = false;
   bool CurrentTold_ = false;
   bool HallLost_ = false; ///< Other data halls serve callers better.
--- a/src/packet-process-news.cc
+++ b/src/packet-process-news.cc
@@ -23,6 +23,7 @@
   bool Done = Answer.Outcome_ == IntentAnswer::Outcome::Done;
   bool Stale = Answer.Outcome_ == IntentAnswer::Outcome::Stale;
   ServiceLog_.answered(Now, Answer);
+  RefusedItems_ += Answer.RefusedItems_;
   if (!Done && !Stale)
     ++ServiceFailures_;
   if (Stale)
--- a/test/published-test.cc
+++ b/test/published-test.cc
@@ -88,6 +88,104 @@
   CHECK_FALSE(A.Routing_->find(parseEndpoint("198.18.0.2:8443")));
 }
 
+TEST_CASE("the birth of a start") {
+  Json Told = upstream();
+  Told["born"] = 1772424720123;
+  StoreAnswer A = decode(
+      {{"items", {item("servers/i-1", Told, 1)}}, {"store-revision", 1}});
+  REQUIRE(A.Changes_[0].Entry_);
+  CHECK(A.Changes_[0].Entry_->BornMs_ == 1772424720123);
+}
+
+namespace {
+
+/// A value that no upstream writes into \p Field.
+rc::Gen<Json> wrongValue(const std::string &Field) {
+  std::vector<Json> Values = {nullptr,       true,          -1, 2.5, 1e300,
+                              Json::array(), Json::object()};
+  bool Text = upstream()[Field].is_string();
+  Values.push_back(Text ? Json(7) : Json("7"));
+  // Beyond every bound that a number has; `call-seq` has none.
+  if (!Text && Field != "call-seq")
+    Values.push_back(18446744073709551615ULL);
+  if (Field == "state")
+    Values.insert(Values.end(), {"READY", "resting", "ready ", ""});
+  if (Field == "address")
+    Values.insert(Values.end(), {"10.0.0.1", "host:80", "10.0.0.1:70000", ""});
+  return rc::gen::elementOf(Values);
+}
+
+} // namespace
+
+TEST_CASE("an entry of another writer names no upstream, and others hold") {
+  rc::check([] {
+    std::vector<std::string> Fields;
+    Json Other = upstream();
+    for (const auto &Known : Other.items())
+      Fields.push_back(Known.key());
+    auto Field = *rc::gen::elementOf(Fields);
+    if (*rc::gen::arbitrary<bool>())
+      Other.erase(Field);
+    else
+      Other[Field] = *wrongValue(Field);
+    StoreAnswer A = decode(
+        {{"events",
+          {item("servers/i-1", upstream(), 1), item("servers/i-2", Other, 2),
+           item("servers/i-3", upstream(), 3)}},
+         {"store-revision", 3}});
+    RC_ASSERT(A.Changes_.size() == 3U);
+    RC_ASSERT(A.Changes_[0].Entry_.has_value());
+    RC_ASSERT(!A.Changes_[1].Entry_.has_value());
+    RC_ASSERT(A.Changes_[1].At_ == 2U);
+    RC_ASSERT(A.Changes_[2].Entry_.has_value());
+    RC_ASSERT(A.Refused_.size() == 1U);
+    RC_ASSERT(A.Refused_[0].find("servers/i-2: ") == 0U);
+  });
+}
+
+TEST_CASE("what is no entry at all names no upstream either") {
+  for (const char *Born :
+       {"\"1772424720123\"", "1.5", "-4", "null", "[1]", "9999999999999999"}) {
+    Json Other = upstream();
+    Other["born"] = Json::parse(Born);
+    StoreAnswer A = decode(
+        {{"items", {item("servers/i-2", Other, 2)}}, {"store-revision", 3}});
+    CAPTURE(Born);
+    CHECK_FALSE(A.Changes_.at(0).Entry_);
+  }
+  for (const std::string &Value :
+       {std::string("\xff\xfe"), std::string("{\"zone\":\"\xc3\x28\"}"),
+        std::string("[]"), std::string("7"), std::string(),
+        std::string(1 << 20, '['), std::string(1 << 20, 'x')}) {
+    Json Item = item("servers/i-2", Json::object(), 2);
+    Item["val"] = base64(Value);
+    StoreAnswer A =
+        decode({{"events", {Item, item("servers/i-3", upstream(), 3)}},
+                {"store-revision", 3}});
+    REQUIRE(A.Changes_.size() == 2);
+    CHECK_FALSE(A.Changes_[0].Entry_);
+    CHECK(A.Changes_[1].Entry_);
+  }
+}
+
+TEST_CASE("an item without a key, revision or value does not spoil its page") {
+  Json NoKey = item("servers/i-1", upstream(), 1);
+  NoKey["key-file"] = 5;
+  Json NoRevision = item("servers/i-2", upstream(), 2);
+  NoRevision["revision"] = "2";
+  Json NoValue = item("servers/i-3", upstream(), 3);
+  NoValue["val"] = Json::array();
+  Json NoObject = 17;
+  StoreAnswer A = decode({{"items",
+                           {NoKey, NoRevision, NoValue, NoObject,
+                            item("servers/i-4", upstream(), 4)}},
+                          {"store-revision", 4}});
+  CHECK(A.Refused_.size() == 4);
+  REQUIRE(A.Changes_.size() == 2);
+  CHECK_FALSE(A.Changes_[0].Entry_);
+  CHECK(A.Changes_[1].Incarnation_ == Incarnation{4});
+}
+
 TEST_CASE("events of a watch") {
   Json Gone = {
       {"key-file", "servers/i-ab"}, {"revision", 413}, {"is-gone", true}};
@@ -116,8 +214,12 @@
   CHECK(A.Refused_.size() == 4);
   CHECK(A.Refused_[0].find("servers/i-1: ") == 0);
   CHECK_FALSE(A.Routing_);
-  REQUIRE(A.Changes_.size() == 1);
-  CHECK(A.Changes_[0].Incarnation_ == Incarnation{5});
+  // Those whose key can be read name no upstream to use.
+  REQUIRE(A.Changes_.size() == 3);
+  CHECK(A.Changes_[0] == UpstreamChange{Incarnation{1}, 1, std::nullopt});
+  CHECK(A.Changes_[1] == UpstreamChange{Incarnation{4}, 4, std::nullopt});
+  CHECK(A.Changes_[2].Incarnation_ == Incarnation{5});
+  CHECK(A.Changes_[2].Entry_);
 }
 
 TEST_CASE("limits of cold upstreams, of which 0 is none") {
