A start under the same identifier is an upstream of its own; late entries take no address

Cause: the identifier alone was the incarnation, so that a restart under it kept every verdict of the start before; and of two upstreams at one address the one with the later revision was held to have the address. Change: entries, warnings and rows carry the birth of a start. A later birth under the same identifier voids deaths, ejections, stalls, short answers, checks and warnings that began before, and its cold limit begins anew; an earlier birth never replaces a later one, whatever its revision; where births were told an entry without one is another writer's. The later birth has an address; without births one that is published has it from one that is gone, and of two published ones neither is proved to have ended. A service that no routing table names takes no address. Kept: packets follow the identifier, and the new start refuses what it does not hold.

--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -68,6 +68,7 @@
 struct Belief {
   enum class Kind : std::uint8_t {
     Listed,
+    Restarted, ///< Under its incarnation; what was believed of it is void.
     Draining,
     Lapsed,
     Gone,
--- a/include/thymewall/routing.h
+++ b/include/thymewall/routing.h
@@ -39,6 +39,8 @@
 
   /// Null when callers may not use the address.
   const std::vector<ServiceShare> *find(const Endpoint &At) const;
+  /// Whether it knows the service: by name, or as one that an address leads to.
+  bool names(ServiceId Id) const;
   /// 0 where a service has no limit for its cold upstreams.
   double coldPerSecond(ServiceId Id) const;
   /// The name of a service, or its number when no name is known.
--- a/include/thymewall/upstream-list.h
+++ b/include/thymewall/upstream-list.h
@@ -13,9 +13,13 @@
 
 namespace thymewall {
 
-/// An upstream as it is published. `Incarnation_` is new with every start.
+/// An upstream as it is published. `Incarnation_` and `BornMs_` together are
+/// new with every start; most starts have a new `Incarnation_`.
 struct UpstreamEntry {
   Incarnation Incarnation_{};
+  /// Unix milliseconds of this start; 0 where it is not told. Tells apart
+  /// starts with the same `Incarnation_`.
+  std::uint64_t BornMs_ = 0;
   ServiceId Service_{};
   Endpoint At_;
   std::string DataHall_;
@@ -25,8 +29,8 @@
 };
 inline bool operator==(const UpstreamEntry &A, const UpstreamEntry &B) {
   auto Fields = [](const UpstreamEntry &E) {
-    return std::tie(E.Incarnation_, E.Service_, E.At_, E.DataHall_, E.Slots_,
-                    E.Draining_, E.WarmAt_);
+    return std::tie(E.Incarnation_, E.BornMs_, E.Service_, E.At_, E.DataHall_,
+                    E.Slots_, E.Draining_, E.WarmAt_);
   };
   return Fields(A) == Fields(B);
 }
@@ -41,6 +45,11 @@
   bool Ended_ = false;
 };
 
+inline bool operator==(const UpstreamChange &A, const UpstreamChange &B) {
+  return std::tie(A.Incarnation_, A.At_, A.Entry_, A.Ended_) ==
+         std::tie(B.Incarnation_, B.At_, B.Entry_, B.Ended_);
+}
+
 /// Changes that are complete from just after `After_` through `Through_`.
 /// A whole list has `Whole_`: upstreams that it lacks are gone. For a receiver
 /// that is complete through `After_` it only names, in `Unchanged_`, what has
@@ -97,6 +106,7 @@
   void keepEnd(Incarnation Which, Revision At);
   void keepEnded(Incarnation Which, const Row &Last);
   bool hasEnded(Incarnation Which) const;
+  std::uint64_t bornMs(Incarnation Which) const;
   void forgetEnded(Incarnation Which);
 
   std::map<Incarnation, Row> Entries_;
--- a/include/thymewall/upstream-table.h
+++ b/include/thymewall/upstream-table.h
@@ -108,6 +108,8 @@
   void setDead(std::uint32_t Index, bool Dead);
   /// Forgets every death, ejection and failure (after a late wake).
   void forgetBeliefs();
+  /// The same of one upstream, which has started again.
+  void forgetBeliefs(std::uint32_t Index);
 
   /// An evacuated upstream gets no new flows, whatever becomes of the others.
   void setEvacuated(std::uint32_t Index, bool Evacuated);
--- a/include/thymewall/upstream-warning.h
+++ b/include/thymewall/upstream-warning.h
@@ -19,13 +19,17 @@
   /// The flow of the request: what tells one piece of evidence from another.
   /// None for a dead one.
   FlowId Flow_{};
+  /// Of the start that is meant, as it is published: a warning of one start
+  /// says nothing of the next one under the same incarnation.
+  std::uint64_t BornMs_ = 0;
 };
 inline bool operator==(const UpstreamWarning &A, const UpstreamWarning &B) {
-  return A.Upstream_ == B.Upstream_ && A.Kind_ == B.Kind_ && A.Flow_ == B.Flow_;
+  return std::tie(A.Upstream_, A.Kind_, A.Flow_, A.BornMs_) ==
+         std::tie(B.Upstream_, B.Kind_, B.Flow_, B.BornMs_);
 }
 inline bool operator<(const UpstreamWarning &A, const UpstreamWarning &B) {
-  return std::tie(A.Upstream_, A.Kind_, A.Flow_) <
-         std::tie(B.Upstream_, B.Kind_, B.Flow_);
+  return std::tie(A.Upstream_, A.Kind_, A.Flow_, A.BornMs_) <
+         std::tie(B.Upstream_, B.Kind_, B.Flow_, B.BornMs_);
 }
 
 } // namespace thymewall
--- a/src/news-message.cc
+++ b/src/news-message.cc
@@ -56,9 +56,9 @@
   if (!Change.Entry_)
     return Result;
   const UpstreamEntry &E = *Change.Entry_;
-  Result.push_back(
-      Json::array({raw(E.Service_), formatEndpoint(E.At_), E.DataHall_,
-                   E.Slots_, E.Draining_, millisLeft(E.WarmAt_, Now)}));
+  Result.push_back(Json::array({raw(E.Service_), formatEndpoint(E.At_),
+                                E.DataHall_, E.Slots_, E.Draining_,
+                                millisLeft(E.WarmAt_, Now), E.BornMs_}));
   return Result;
 }
 
@@ -89,8 +89,8 @@
 }
 
 Json toJson(const UpstreamWarning &M, MonoTime) {
-  return Json::array(
-      {raw(Type::Warning), raw(M.Upstream_), raw(M.Flow_), raw(M.Kind_)});
+  return Json::array({raw(Type::Warning), raw(M.Upstream_), raw(M.Flow_),
+                      M.BornMs_, raw(M.Kind_)});
 }
 
 Endpoint endpointFrom(const Json &Value) {
@@ -168,6 +168,7 @@
   E.Slots_ = Item.at(3).get<std::uint32_t>();
   E.Draining_ = Item.at(4).get<bool>();
   E.WarmAt_ = Now + std::chrono::milliseconds(Item.at(5).get<std::uint32_t>());
+  E.BornMs_ = Item.at(6).get<std::uint64_t>();
   Change.Entry_ = E;
   return Change;
 }
@@ -212,7 +213,8 @@
   UpstreamWarning M;
   M.Upstream_ = static_cast<Incarnation>(J.at(1).get<std::uint64_t>());
   M.Flow_ = static_cast<FlowId>(J.at(2).get<std::uint64_t>());
-  auto Kind = J.at(3).get<std::uint8_t>();
+  M.BornMs_ = J.at(3).get<std::uint64_t>();
+  auto Kind = J.at(4).get<std::uint8_t>();
   if (Kind > raw(UpstreamWarning::Kind::Failing))
     throw std::invalid_argument("unknown kind of warning");
   M.Kind_ = static_cast<UpstreamWarning::Kind>(Kind);
--- a/src/packet-balancer-evidence.cc
+++ b/src/packet-balancer-evidence.cc
@@ -99,6 +99,8 @@
       Upstreams_[Index].Dead_)
     return;
   Detail &D = Details_[Index];
+  if (M.BornMs_ != D.BornMs_)
+    return; // of another start
   if (M.Kind_ == UpstreamWarning::Kind::Dead)
     D.CheckWanted_ = true;
   else if (M.Kind_ == UpstreamWarning::Kind::Failing)
@@ -107,6 +109,14 @@
     noteUnanswered(Index, M.Flow_, false);
 }
 
+/// Tells peers of evidence against an upstream.
+void PacketBalancer::Impl::warn(std::uint32_t Index, UpstreamWarning::Kind Kind,
+                                FlowId Flow) const {
+  if (Options_.OnWarning_)
+    Options_.OnWarning_({Upstreams_.rows()[Index].Incarnation_, Kind, Flow,
+                         Details_[Index].BornMs_});
+}
+
 void PacketBalancer::Impl::noteRequest(std::uint32_t Index, FlowId Flow) {
   std::vector<WaitingRequest> &Waiting = Details_[Index].Waiting_;
   bool Known =
@@ -165,9 +175,8 @@
     return; // others see what led to this ejection only now
   if (!Evidence_.add(Now_, Index, Flow))
     return;
-  if (SeenHere && Options_.OnWarning_)
-    Options_.OnWarning_(
-        {Upstreams_[Index].Incarnation_, UpstreamWarning::Kind::Stalled, Flow});
+  if (SeenHere)
+    warn(Index, UpstreamWarning::Kind::Stalled, Flow);
   std::size_t Needed = neededAgainst(Index, SeenHere);
   std::size_t Unanswered = Evidence_.against(Now_, Index);
   if (Unanswered >= Needed)
@@ -209,9 +218,8 @@
     return; // what was under way there tells nothing new
   if (!ShortAnswers_.add(Now_, Index, Flow))
     return;
-  if (SeenHere && Options_.OnWarning_)
-    Options_.OnWarning_(
-        {Upstreams_[Index].Incarnation_, UpstreamWarning::Kind::Failing, Flow});
+  if (SeenHere)
+    warn(Index, UpstreamWarning::Kind::Failing, Flow);
   Detail &D = Details_[Index];
   auto Of = Services_.find(raw(D.Service_));
   if (Of == Services_.end())
@@ -268,9 +276,7 @@
     Details_[Index].Rechecks_ = 0;
     Details_[Index].RecheckAt_ = Now_ + recheckPause(0);
     believe(Belief::Kind::Dead, Index);
-    if (Options_.OnWarning_)
-      Options_.OnWarning_({Upstreams_[Index].Incarnation_,
-                           UpstreamWarning::Kind::Dead, FlowId{}});
+    warn(Index, UpstreamWarning::Kind::Dead, FlowId{});
   }
   giveUpFlows(Index);
 }
@@ -279,7 +285,9 @@
                                    CheckResult Result, MonoTime Began) {
   Now_ = Now;
   std::uint32_t Index = indexOf(Upstream);
-  if (Index == UpstreamTable::None)
+  bool OfThisStart =
+      Index != UpstreamTable::None && Details_[Index].StartedAt_ <= Began;
+  if (!OfThisStart)
     return;
   // Whatever the check saw, progress of a flow since then is life.
   bool Progress = Details_[Index].ProgressAt_ >= Began;
@@ -290,26 +298,6 @@
   setDead(Index);
 }
 
-/// An address is handed on only when the upstream that had it has ended, so of
-/// two upstreams at one address the one published earlier has ended.
-void PacketBalancer::Impl::noteAddress(std::uint32_t Index) {
-  auto [Item, First] = HolderOf_.try_emplace(Upstreams_[Index].At_, Index);
-  if (First || Item->second == Index)
-    return;
-  std::uint32_t Other = Item->second;
-  bool OtherLater = Details_[Other].Revision_ > Details_[Index].Revision_;
-  if (!OtherLater)
-    Item->second = Index;
-  setEnded(OtherLater ? Index : Other);
-}
-
-void PacketBalancer::Impl::setEnded(std::uint32_t Index) {
-  if (Details_[Index].Ended_)
-    return;
-  Details_[Index].Ended_ = true;
-  setDead(Index);
-}
-
 /// After a late wake; what has ended stays so.
 void PacketBalancer::Impl::forgetBeliefs() {
   Upstreams_.forgetBeliefs();
--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -2,7 +2,8 @@
 /// Inside of `PacketBalancer`: packets (packet-balancer.cc), what is remembered
 /// of flows (packet-balancer-flows.cc), which upstreams there are
 /// (packet-balancer-upstreams.cc) and which of them are suspected, stalled or
-/// dead (packet-balancer-evidence.cc).
+/// dead (packet-balancer-evidence.cc), and who has an address
+/// (packet-balancer-addresses.cc).
 #ifndef THYMEWALL_SRC_PACKET_BALANCER_IMPL_H
 #define THYMEWALL_SRC_PACKET_BALANCER_IMPL_H
 
@@ -81,6 +82,9 @@
     bool Member_ = false; ///< Of the service.
     std::string DataHall_;
     Revision Revision_ = 0;
+    std::uint64_t BornMs_ = 0; ///< Of the start that is published.
+    /// When that start took the place of an earlier one here.
+    MonoTime StartedAt_{};
     MonoTime ColdUntil_{};   ///< As it is published.
     MonoTime LapsedUntil_{}; ///< While it may come back.
     MonoTime ForgetAt_{};    ///< When a gone upstream's row is given back.
@@ -97,7 +101,7 @@
     bool Lapsed_ = false;
     bool Gone_ = false;
     bool Draining_ = false;
-    bool Ended_ = false; ///< Another upstream has its address now.
+    bool Ended_ = false; ///< Another upstream has taken its address over.
   };
   /// The upstreams of a service and those among them that take new flows.
   struct ServiceState {
@@ -164,7 +168,12 @@
   std::uint32_t indexOf(Incarnation Which) const;
   void setAlive(std::uint32_t Index);
   void setDead(std::uint32_t Index);
-  void noteAddress(std::uint32_t Index);
+  void warn(std::uint32_t Index, UpstreamWarning::Kind Kind, FlowId Flow) const;
+  void restart(std::uint32_t Index);
+  void joinAddress(std::uint32_t Index);
+  void leaveAddress(std::uint32_t Index);
+  void settleAddress(const Endpoint &At);
+  bool hasTakenOver(std::uint32_t Index, std::uint32_t From) const;
   void setEnded(std::uint32_t Index);
   void forgetBeliefs();
   void giveUpFlows(std::uint32_t Index);
@@ -185,8 +194,9 @@
   std::set<std::string> EvacuatedHalls_;
   ColdAdmission Cold_;
   std::unordered_map<std::uint32_t, std::uint32_t> IndexOfCookie_;
-  /// The upstream that was published last at an address.
-  std::unordered_map<Endpoint, std::uint32_t, EndpointHash> HolderOf_;
+  /// The upstreams that are or were published at an address.
+  std::unordered_map<Endpoint, std::vector<std::uint32_t>, EndpointHash>
+      AtAddress_;
   detail::PacketFlowTable Flows_;
   MonoTime Now_{};
   MonoTime KnownAsOf_{};
--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -5,6 +5,7 @@
 namespace thymewall {
 
 using detail::cookieOf;
+using detail::PacketFlowRow;
 
 void PacketBalancer::Impl::applyUpstreams(
     MonoTime Now, const std::vector<UpstreamChange> &Changes, bool MayReturn) {
@@ -30,16 +31,22 @@
   // gets no flows, since their packets could not be told apart.
   if (Taken)
     return;
+  bool Fresh = Known == IndexOfCookie_.end();
+  if (!Fresh)
+    leaveAddress(Known->second);
   std::uint32_t Index = Upstreams_.declareOne(
       static_cast<UpstreamId>(Mark), Entry.At_, Entry.Slots_, Entry.WarmAt_);
   if (Details_.size() <= Index)
     Details_.resize(Index + 1);
-  bool Fresh = Known == IndexOfCookie_.end();
   IndexOfCookie_[Mark] = Index;
   Upstreams_[Index].Incarnation_ = Entry.Incarnation_;
   Upstreams_.setLeaving(static_cast<UpstreamId>(Mark), Entry.Draining_);
   joinService(Index, Entry.Service_);
   Detail &D = Details_[Index];
+  bool Restarted = !Fresh && D.BornMs_ != Entry.BornMs_;
+  D.BornMs_ = Entry.BornMs_;
+  if (Restarted)
+    restart(Index);
   bool NewlyDraining = Entry.Draining_ && !D.Draining_;
   bool Returned = D.Lapsed_ || D.Gone_;
   D.DataHall_ = Entry.DataHall_;
@@ -51,8 +58,10 @@
   D.Gone_ = false;
   if (Returned)
     D.RecheckAt_ = Now_;
-  noteAddress(Index);
-  if (Fresh || Returned)
+  joinAddress(Index);
+  if (Restarted)
+    believe(Belief::Kind::Restarted, Index);
+  else if (Fresh || Returned)
     believe(Belief::Kind::Listed, Index);
   if (NewlyDraining)
     believe(Belief::Kind::Draining, Index);
@@ -91,6 +100,31 @@
   return Found ? Known->second : UpstreamTable::None;
 }
 
+/// The upstream has started again under its incarnation: what was found out
+/// about the earlier start says nothing of this one. Open flows are forgotten
+/// and not reset: their packets reach the new start, which alone knows which of
+/// them it holds (one opened since its start looks the same from here).
+void PacketBalancer::Impl::restart(std::uint32_t Index) {
+  std::vector<FlowId> Earlier;
+  Flows_.forEach([&](const PacketFlowRow &Row) {
+    if (Row.Upstream_ == Index)
+      Earlier.push_back(Row.Flow_);
+  });
+  for (FlowId Flow : Earlier)
+    endFlow(*Flows_.find(Flow));
+  Upstreams_.forgetBeliefs(Index);
+  Evidence_.clear(Index);
+  ShortAnswers_.clear(Index);
+  Cold_.forget(Upstreams_[Index].Incarnation_);
+  Detail Fresh;
+  Detail &D = Details_[Index];
+  Fresh.Service_ = D.Service_;
+  Fresh.Member_ = D.Member_;
+  Fresh.BornMs_ = D.BornMs_;
+  Fresh.StartedAt_ = Now_;
+  D = Fresh;
+}
+
 void PacketBalancer::Impl::joinService(std::uint32_t Index, ServiceId Service) {
   Detail &D = Details_[Index];
   if (D.Member_ && D.Service_ == Service)
@@ -130,6 +164,7 @@
   D.ForgetAt_ = Now_ + Options_.FlowLimit_;
   Upstreams_.withdraw(Index);
   believe(Belief::Kind::Gone, Index);
+  settleAddress(Upstreams_[Index].At_);
 }
 
 /// Ends what had a time: lapsed upstreams are gone, and gone ones forgotten.
@@ -147,9 +182,7 @@
 void PacketBalancer::Impl::forget(std::uint32_t Index) {
   Detail &D = Details_[Index];
   IndexOfCookie_.erase(cookieOf(Upstreams_[Index].Incarnation_));
-  auto Holder = HolderOf_.find(Upstreams_[Index].At_);
-  if (Holder != HolderOf_.end() && Holder->second == Index)
-    HolderOf_.erase(Holder);
+  leaveAddress(Index);
   leaveService(Index);
   Evidence_.clear(Index);
   ShortAnswers_.clear(Index);
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -242,6 +242,13 @@
   if (Routing_ && Table->Version_ <= Routing_->Version_)
     return;
   Routing_ = std::move(Table);
+  // Services that it names may be those of upstreams at a shared address.
+  std::vector<Endpoint> Shared;
+  for (const auto &[At, Rows] : AtAddress_)
+    if (Rows.size() > 1)
+      Shared.push_back(At);
+  for (const Endpoint &At : Shared)
+    settleAddress(At);
 }
 
 /// Three times the usual, so that callers far away don't cost two connections
--- a/src/packet-log.cc
+++ b/src/packet-log.cc
@@ -26,6 +26,8 @@
   switch (Kind) {
   case Belief::Kind::Listed:
     return "upstream_listed";
+  case Belief::Kind::Restarted:
+    return "upstream_restarted";
   case Belief::Kind::Draining:
     return "upstream_draining";
   case Belief::Kind::Lapsed:
--- a/src/routing.cc
+++ b/src/routing.cc
@@ -2,6 +2,7 @@
 
 #include "thymewall/packet.h"
 
+#include <algorithm>
 #include <xxhash.h>
 
 namespace thymewall {
@@ -27,6 +28,16 @@
   return Known == Addresses_.end() ? nullptr : &Known->second;
 }
 
+bool RoutingTable::names(ServiceId Id) const {
+  auto LeadsThere = [Id](const auto &Item) {
+    return std::any_of(
+        Item.second.begin(), Item.second.end(),
+        [Id](const ServiceShare &S) { return S.Service_ == Id; });
+  };
+  return ServiceNames_.count(raw(Id)) != 0 ||
+         std::any_of(Addresses_.begin(), Addresses_.end(), LeadsThere);
+}
+
 double RoutingTable::coldPerSecond(ServiceId Id) const {
   auto Known = ColdPerSecond_.find(raw(Id));
   return Known == ColdPerSecond_.end() ? 0 : Known->second;
--- a/src/upstream-list.cc
+++ b/src/upstream-list.cc
@@ -28,7 +28,16 @@
   bool Newer = Known == Entries_.end() || Known->second.At_ < Change.At_;
   if (!Newer)
     return;
-  if (Change.Entry_) {
+  // What a start wrote may arrive after its successor's entry: held up by a
+  // cut, it must not bring the earlier start back.
+  std::uint64_t LastBorn = bornMs(Change.Incarnation_);
+  std::uint64_t Born = Change.Entry_ ? Change.Entry_->BornMs_ : 0;
+  bool EarlierStart = Born != 0 && Born < LastBorn;
+  if (EarlierStart)
+    return;
+  // A start that has told its birth tells it always: else another wrote this.
+  bool OtherWriter = Born == 0 && LastBorn != 0;
+  if (Change.Entry_ && !OtherWriter) {
     if (Known == Entries_.end())
       forgetEnded(Change.Incarnation_);
     Entries_[Change.Incarnation_] = {Change.At_, *Change.Entry_};
@@ -97,6 +106,18 @@
   });
 }
 
+/// Of the last start of \p Which that is known, published or not; else 0.
+std::uint64_t UpstreamList::bornMs(Incarnation Which) const {
+  auto Known = Entries_.find(Which);
+  if (Known != Entries_.end())
+    return Known->second.Entry_.BornMs_;
+  std::uint64_t Last = 0;
+  for (const UpstreamChange &Change : Ended_)
+    if (Change.Incarnation_ == Which)
+      Last = std::max(Last, Change.Entry_->BornMs_);
+  return Last;
+}
+
 /// It is published again.
 void UpstreamList::forgetEnded(Incarnation Which) {
   Ended_.erase(std::remove_if(Ended_.begin(), Ended_.end(),
--- a/src/upstream-table.cc
+++ b/src/upstream-table.cc
@@ -231,12 +231,16 @@
 }
 
 void UpstreamTable::forgetBeliefs() {
-  for (UpstreamRow &Row : Rows_) {
-    Row.Dead_ = false;
-    Row.Failures_ = 0;
-    Row.Ejections_ = 0;
-    Row.EjectedUntil_ = {};
-  }
+  for (std::uint32_t Index = 0; Index < Rows_.size(); ++Index)
+    forgetBeliefs(Index);
+}
+
+void UpstreamTable::forgetBeliefs(std::uint32_t Index) {
+  UpstreamRow &Row = Rows_[Index];
+  Row.Dead_ = false;
+  Row.Failures_ = 0;
+  Row.Ejections_ = 0;
+  Row.EjectedUntil_ = {};
   ++Generation_;
 }
 
--- a/test/upstream-list-test.cc
+++ b/test/upstream-list-test.cc
@@ -196,3 +196,54 @@
     }
   });
 }
+
+namespace {
+
+UpstreamChange born(std::uint64_t Id, Revision At, std::uint64_t BornMs) {
+  UpstreamChange Change = put(Id, At);
+  Change.Entry_->BornMs_ = BornMs;
+  return Change;
+}
+
+/// When the listed start of upstream 1 was born; 0 when it is not listed.
+std::uint64_t bornMs(const UpstreamList &List) {
+  for (const UpstreamChange &C : List.since(0).Changes_)
+    if (C.Incarnation_ == Incarnation{1})
+      return C.Entry_->BornMs_;
+  return 0;
+}
+
+} // namespace
+
+TEST_CASE("late news of an earlier start never undoes the later one") {
+  UpstreamList List;
+  std::vector<UpstreamChange> Applied;
+  REQUIRE(List.apply({true, 0, 10, {born(1, 4, 100)}, {}}, Applied));
+  REQUIRE(List.apply({false, 10, 12, {born(1, 11, 200)}, {}}, Applied));
+  CHECK(bornMs(List) == 200);
+  SUBCASE("by a later revision") {
+    Applied.clear();
+    REQUIRE(List.apply({false, 12, 20, {born(1, 15, 100)}, {}}, Applied));
+    CHECK(Applied.empty());
+    CHECK(bornMs(List) == 200);
+  }
+  SUBCASE("in a whole list, where it is not absent either") {
+    REQUIRE(List.apply({true, 0, 20, {born(1, 15, 100)}, {}}, Applied));
+    CHECK(bornMs(List) == 200);
+  }
+  SUBCASE("after the later one has gone") {
+    REQUIRE(List.apply({false, 12, 20, {gone(1, 15)}, {}}, Applied));
+    REQUIRE(List.apply({false, 20, 30, {born(1, 25, 100)}, {}}, Applied));
+    CHECK(List.size() == 0);
+    REQUIRE(List.apply({false, 30, 40, {born(1, 35, 300)}, {}}, Applied));
+    CHECK(bornMs(List) == 300);
+  }
+}
+
+TEST_CASE("an entry that tells no birth names none where births are told") {
+  UpstreamList List;
+  std::vector<UpstreamChange> Applied;
+  REQUIRE(List.apply({true, 0, 10, {born(1, 4, 100), put(2, 5)}, {}}, Applied));
+  REQUIRE(List.apply({false, 10, 12, {put(1, 11), put(2, 12)}, {}}, Applied));
+  CHECK(contents(List) == std::map<std::uint64_t, std::uint32_t>{{2, 1}});
+}
