A fleet starts by parts of the list, and peers exchange the others

Bytes of a start grew with hosts x upstreams. Change: a stale list is read by parts (256, by the first digits of the identifier) until there are 64 upstreams; a list whose parts are small is read whole, as before. Peers exchange the other parts, each asked of one peer only, at most some 768 upstreams a question; with all parts at hand digests tell a peer that knows a revision which parts differ. Whole lists are read by seeds after 0.3 s, by others in turns 2.5 to 12.5 s later, at once by a balancer that reaches no peer. A failed call for a stale list is tried again (8 times) before a whole list is asked for. A start tries one seed first; seeds hand peers on beyond 32 links; balancers that know each other go on looking for seeds that are no members, about one at each tick, which joins parts of a fleet. The order of readers has no last step any more: after 0.8 s all beyond the eighth place called in one moment. Ruled out: parts by a hash of ours (the service can't read by it); completeness by part (linearizable reads of every start, 585 calls in place of 230).

--- a/include/thymewall/intent-reader.h
+++ b/include/thymewall/intent-reader.h
@@ -6,6 +6,7 @@
 #define THYMEWALL_INTENT_READER_H
 
 #include "thymewall/evacuation.h"
+#include "thymewall/list-parts.h"
 #include "thymewall/routing.h"
 #include "thymewall/upstream-list.h"
 
@@ -14,16 +15,16 @@
 /// One call of the configuration service.
 struct IntentCall {
   enum class Kind : std::uint8_t {
-    /// Everything that was published some seconds ago at most. Gain: a tenth of
-    /// the cost of a list; 293 calls in place of 921 on a quiet day of 295
-    /// balancers that start together.
+    /// What was published some seconds ago at most, at a tenth of the cost of
+    /// a list: everything, or some parts of a long list.
     StaleList,
     List, ///< Everything that is published.
     Watch ///< What has changed since a revision, as soon as there is some.
   };
   Kind Kind_ = Kind::List;
   Revision After_ = 0;
-  MonoTime WaitUntil_{}; ///< A watch without news is answered by then.
+  std::uint8_t FirstPart_ = 0; ///< Of a long stale list.
+  MonoTime WaitUntil_{};       ///< A watch without news is answered by then.
   /// No answer, or no first page of a list, by then counts as a failure.
   MonoTime GiveUpAt_{};
 };
@@ -42,6 +43,8 @@
   RoutingTablePtr Routing_; ///< Null when it has not changed.
   UpstreamBatch Batch_;
   EvacuationBatch Evacuations_;
+  /// The parts that a stale list has; nothing when it has all of them.
+  std::optional<ListParts> Parts_;
   std::size_t RefusedItems_ = 0; ///< Published items that could not be read.
 };
 
@@ -68,6 +71,16 @@
   static constexpr Micros PeersTellPerUpstream =
       std::chrono::microseconds(1000);
   static constexpr Micros SpreadPerUpstream = std::chrono::microseconds(1500);
+  /// A balancer that has parts of a long list leaves peers this long, and up to
+  /// `LongestTurn` more, to tell the rest: a whole list takes about a second to
+  /// read, and hundreds that read it at once take the service's whole link.
+  static constexpr Micros PartsTellWithin = std::chrono::milliseconds(2500);
+  /// The same for a seed, which all others find first: of a fleet that starts
+  /// at once only these read the whole list.
+  static constexpr Micros SeedReadsAfter = std::chrono::milliseconds(300);
+  /// So many failed calls for a stale list in a row mean that there are none.
+  /// Fewer are an outage, after which a whole fleet must not ask for lists.
+  static constexpr std::size_t StaleTries = 8;
   /// Pauses after failures double between these.
   static constexpr Micros FirstPause = std::chrono::milliseconds(150);
   static constexpr Micros LongestPause = std::chrono::milliseconds(1200);
@@ -80,7 +93,9 @@
   static constexpr Micros LongestTurn = std::chrono::seconds(10);
 
   /// \p Spread in [0, 1) keeps processes that start together apart.
-  explicit IntentReader(double Spread) : Spread_(Spread) {}
+  /// \p IsSeed: others find their peers through this one.
+  explicit IntentReader(double Spread, bool IsSeed = false)
+      : Spread_(Spread), IsSeed_(IsSeed) {}
 
   /// The call that is due at \p Now, if any; at most one is under way. None
   /// starts before \p ReadFrom: others keep this process informed until then.
@@ -93,6 +108,8 @@
   void answered(MonoTime Now, const IntentAnswer &Answer, std::size_t Fleet);
   /// Everything through \p Through is known, whoever told it.
   void known(Revision Through);
+  /// Nobody can tell the rest: a call that only left time for peers is due.
+  void noPeers(MonoTime Now);
   /// The next call must read everything.
   void listAgain() { ListWanted_ = true; }
   /// All changes up to this time are in the last answer.
@@ -100,11 +117,12 @@
 
 private:
   IntentCall::Kind nextKind() const;
-  Micros pauseForPeers(std::size_t Upstreams) const;
+  Micros pauseForPeers(const IntentAnswer &Stale) const;
   Micros pauseAfter(MonoTime Now, const IntentAnswer &Answer,
                     std::size_t Fleet);
 
   double Spread_;
+  bool IsSeed_;
   Revision Through_ = 0;
   MonoTime DueAt_{};
   MonoTime SentAt_{};
@@ -112,7 +130,9 @@
   MonoTime CompleteAt_{};
   Micros FailurePause_ = FirstPause;
   bool ListWanted_ = true;
-  bool StaleWanted_ = true; ///< First: nothing is known, nor was it tried.
+  bool StaleWanted_ = true; ///< First: nothing is known.
+  std::size_t StaleTried_ = 0;
+  bool LeavesTimeForPeers_ = false; ///< Has parts only.
   bool UnderWay_ = false;
 };
 
--- a/include/thymewall/news-message.h
+++ b/include/thymewall/news-message.h
@@ -46,6 +46,10 @@
   /// Since the sender started, or last slept: it has just come when this is
   /// short.
   std::uint32_t PresentMs_ = 0;
+  /// Upstreams that it lists, and the parts of the list that it has while it
+  /// doesn't know through which revision (`Through_` is 0).
+  std::uint32_t Listed_ = 0;
+  ListParts Parts_{};
   std::vector<Member> Members_;
 };
 
@@ -55,6 +59,10 @@
   Revision Through_ = 0;
   /// Also for upstreams that have ended: the sender has just started.
   bool Ended_ = false;
+  /// If any: nothing but these parts, as far as the receiver has them.
+  ListParts Parts_{};
+  /// What the sender has of each part, when it has all of them.
+  std::optional<PartDigests> Digests_{};
 };
 
 /// The answer to `NewsWanted`.
@@ -64,6 +72,8 @@
   EvacuationBatch Evacuations_; ///< Always whole.
   /// As in a heartbeat.
   std::uint32_t KnownAgeMs_ = PeerHeartbeat::NeverKnown;
+  /// If any: the answer is nothing but these parts.
+  ListParts Parts_{};
 };
 
 using NewsMessage =
--- a/include/thymewall/news.h
+++ b/include/thymewall/news.h
@@ -79,10 +79,11 @@
   /// make knowledge look younger than it is.
   static constexpr Micros ClaimWithin = std::chrono::milliseconds(1200);
   /// Age of knowledge at which the next balancers read for themselves: the
-  /// reader confirms every 0.5 s, and every 1.1 s while there is news.
+  /// reader confirms every 0.5 s, and every 1.1 s while there is news. Each
+  /// balancer of the order waits a step more than the one before it, without a
+  /// bound: else all those beyond it would read in the same moment.
   static constexpr Micros ReadAfter = std::chrono::milliseconds(1500);
   static constexpr Micros ReadStep = std::chrono::milliseconds(100);
-  static constexpr std::size_t ReadSteps = 8;
   /// A balancer that has read once gives its peers this long to tell it who
   /// reads before it reads again: links open in some ten milliseconds, and the
   /// reader confirms what is known every 0.5 s.
@@ -100,6 +101,14 @@
   /// Without a tick for so long this process has slept.
   static constexpr Micros SleptFor = std::chrono::milliseconds(1250);
 
+  /// Links that a balancer goes on accepting; further peers are told of members
+  /// and sent on to them. Else a seed holds a link to every balancer of a fleet
+  /// that starts.
+  static constexpr std::size_t AcceptedLinks = 32;
+  /// Upstreams, about, that a start asks one peer for at once: what a message
+  /// of some 40 KB holds.
+  static constexpr std::size_t UpstreamsPerQuestion = 768;
+
   /// A warning goes through the fleet once in this time.
   static constexpr Micros WarnAgainAfter = std::chrono::milliseconds(1000);
   /// Different warnings of each kind in that time; more are not told: 6 links
--- a/include/thymewall/upstream-list.h
+++ b/include/thymewall/upstream-list.h
@@ -5,6 +5,7 @@
 #define THYMEWALL_UPSTREAM_LIST_H
 
 #include "thymewall/core.h"
+#include "thymewall/list-parts.h"
 
 #include <deque>
 #include <map>
@@ -25,7 +26,8 @@
   std::string DataHall_;
   std::uint32_t Slots_ = 1;
   bool Draining_ = false;
-  MonoTime WarmAt_{}; ///< End of its slow start.
+  MonoTime WarmAt_{};     ///< End of its slow start.
+  std::uint8_t Part_ = 0; ///< Of the published list.
 };
 inline bool operator==(const UpstreamEntry &A, const UpstreamEntry &B) {
   auto Fields = [](const UpstreamEntry &E) {
@@ -63,8 +65,13 @@
   /// Upstreams that have ended lately, with their last entries; told only to
   /// those that may never have heard of them.
   std::vector<UpstreamChange> Ended_{};
+  /// Parts of a whole list that are just what the receiver said it has.
+  ListParts Same_{};
 };
 
+/// What the entries of each part are, by incarnation and revision.
+using PartDigests = std::array<std::uint64_t, ListPartCount>;
+
 /// The upstreams, complete through a revision.
 class UpstreamList {
 public:
@@ -83,6 +90,12 @@
   /// What is needed by a list that is complete through \p After; the whole list
   /// when the ends since then are no longer known.
   UpstreamBatch since(Revision After) const;
+  /// The whole list for a receiver that has entries with these digests, of
+  /// which it doesn't know through which revision they are complete.
+  UpstreamBatch sinceDigests(const PartDigests &Theirs) const;
+  /// The entries of some parts; says nothing of what they lack.
+  UpstreamBatch parts(const ListParts &Which) const;
+  PartDigests digests() const;
 
   /// The upstreams that have ended lately, the earliest first.
   std::vector<UpstreamChange> ended() const {
--- a/src/intent-reader.cc
+++ b/src/intent-reader.cc
@@ -26,6 +26,8 @@
   IntentCall Call;
   Call.Kind_ = nextKind();
   Call.After_ = ListWanted_ ? 0 : Through_;
+  Call.FirstPart_ =
+      static_cast<std::uint8_t>(Spread_ * static_cast<double>(ListPartCount));
   Call.WaitUntil_ = WaitUntil_;
   Call.GiveUpAt_ = WaitUntil_ + AnswerWithin;
   return Call;
@@ -47,12 +49,21 @@
   Through_ = Through;
   ListWanted_ = false; // changes after it can be watched for
   StaleWanted_ = false;
+  LeavesTimeForPeers_ = false;
+}
+
+void IntentReader::noPeers(MonoTime Now) {
+  if (LeavesTimeForPeers_)
+    DueAt_ = std::min(DueAt_, Now);
 }
 
 void IntentReader::answered(MonoTime Now, const IntentAnswer &Answer,
                             std::size_t Fleet) {
   UnderWay_ = false;
-  StaleWanted_ = false; // once: what fails may not be served that way at all
+  bool Served = Answer.Outcome_ == IntentAnswer::Outcome::Stale ||
+                Answer.Outcome_ == IntentAnswer::Outcome::Done;
+  StaleWanted_ = StaleWanted_ && !Served && ++StaleTried_ < StaleTries;
+  LeavesTimeForPeers_ = Answer.Parts_.has_value();
   DueAt_ = Now + pauseAfter(Now, Answer, Fleet);
   switch (Answer.Outcome_) {
   case IntentAnswer::Outcome::Done:
@@ -75,7 +86,11 @@
 
 /// An empty list says nothing of how long the current one is: all start before
 /// any upstream does.
-Micros IntentReader::pauseForPeers(std::size_t Upstreams) const {
+Micros IntentReader::pauseForPeers(const IntentAnswer &Stale) const {
+  if (Stale.Parts_)
+    return IsSeed_ ? SeedReadsAfter
+                   : PartsTellWithin + part(LongestTurn, Spread_);
+  std::size_t Upstreams = Stale.Batch_.Changes_.size();
   if (Upstreams == 0)
     return PeersTellWithin + part(PeersTellSpread, Spread_);
   auto Count = static_cast<Micros::rep>(Upstreams);
@@ -93,7 +108,7 @@
     return bringsNews(Answer) || Early ? PauseAfterNews : Micros(0);
   }
   if (Answer.Outcome_ == IntentAnswer::Outcome::Stale)
-    return pauseForPeers(Answer.Batch_.Changes_.size());
+    return pauseForPeers(Answer);
   if (Answer.Outcome_ == IntentAnswer::Outcome::HistoryGone)
     return Micros(0);
   Micros Pause = FailurePause_;
--- /dev/null
+++ b/src/list-parts.cc
@@ -0,0 +1,25 @@
+#include "thymewall/list-parts.h"
+
+namespace thymewall {
+
+namespace {
+
+/// Odd, so that all parts come in turn; far apart, so that balancers whose
+/// first parts are neighbours share no other one.
+constexpr std::uint8_t Step = 97;
+
+} // namespace
+
+void PartsReading::read(std::size_t Upstreams) {
+  Parts_.set(Next_);
+  Next_ = static_cast<std::uint8_t>(Next_ + Step);
+  Upstreams_ += Upstreams;
+}
+
+bool PartsReading::listIsShort() const {
+  return Upstreams_ < LeastInPart * Parts_.count();
+}
+
+bool PartsReading::enough() const { return Upstreams_ >= LeastAtStart; }
+
+} // namespace thymewall
--- a/src/news-impl.h
+++ b/src/news-impl.h
@@ -1,6 +1,6 @@
 /// \file
-/// Inside of `NewsExchange`: what is known and who reads (news.cc), and links
-/// and heartbeats (news-links.cc).
+/// Inside of `NewsExchange`: what is known and who reads (news.cc), links and
+/// heartbeats (news-links.cc), and starts by parts of the list (news-parts.cc).
 #ifndef THYMEWALL_SRC_NEWS_IMPL_H
 #define THYMEWALL_SRC_NEWS_IMPL_H
 
@@ -8,6 +8,7 @@
 #include "peer-choice.h"
 #include "thymewall/news.h"
 
+#include <algorithm>
 #include <deque>
 #include <set>
 
@@ -23,12 +24,19 @@
   };
 
   bool OpenedHere_ = false;
-  std::string Peer_; ///< Name, once a heartbeat came.
+  bool SentOn_ = false; ///< One too many: the peer is to link to others.
+  std::string Peer_;    ///< Name, once a heartbeat came.
   MonoTime SilentAt_{};
   std::uint64_t Sequence_ = 0;
   std::uint64_t LastHeard_ = 0;
   std::deque<Sent> Sent_;
   MonoTime AskedAt_{}; ///< When news was last asked for.
+  /// As the peer's last heartbeat told: what it has of the list.
+  ListParts PeerParts_;
+  std::uint32_t PeerListed_ = 0;
+  /// Parts that it was asked for and has yet to send, at most until then.
+  ListParts AskedParts_;
+  MonoTime AskedPartsUntil_{};
   bool AskedEnded_ = false;
   /// Questions that wait for their answers, which come in the same order: true
   /// for those that ask for ended upstreams too. Without the order any three
@@ -44,6 +52,12 @@
     return Ended;
   }
 
+  /// How many upstreams there are, judged by what the peer has of them.
+  std::size_t peerList() const {
+    return PeerListed_ * ListPartCount /
+           std::max<std::size_t>(PeerParts_.count(), 1);
+  }
+
   /// The time after which the peer must have sent a message with this echo.
   MonoTime sentAt(std::uint64_t Echo) const {
     for (const Sent &S : Sent_)
@@ -67,9 +81,7 @@
   void connectFailed(MonoTime Now, const Endpoint &Control);
   void received(MonoTime Now, LinkId Which, const NewsMessage &M);
   bool readDone(MonoTime Now, const IntentAnswer &Answer, MonoTime AsOf);
-  void readStale(MonoTime Now, const IntentAnswer &Answer) {
-    apply(Now, Answer.Routing_, Answer.Batch_, Answer.Evacuations_);
-  }
+  void readStale(MonoTime Now, const IntentAnswer &Answer);
   void readFailed() { Reading_ = false; }
   void warn(MonoTime Now, const UpstreamWarning &M) { tell(Now, M, nullptr); }
   void setLeaving(MonoTime Now);
@@ -107,11 +119,27 @@
   void confirm(MonoTime Now, MonoTime AsOf);
   void askIfBehind(MonoTime Now, LinkId Which, const PeerHeartbeat &M);
   void closeSpare(LinkId Which, const std::string &Peer);
+  bool acceptsNoMore() const;
+  /// The parts of the list that are here, whichever revision they are of.
+  ListParts partsHere() const {
+    return List_.through() == 0 ? Parts_ : allParts();
+  }
+  bool startsByParts(const detail::NewsLink &L) const {
+    bool Long = Parts_.any() || L.peerList() > UpstreamsPerQuestion;
+    return List_.through() == 0 && !Parts_.all() && Long;
+  }
+  void askForParts(MonoTime Now, LinkId Which);
+  void takeParts(MonoTime Now, LinkId Which, const News &M);
+  void addParts(MonoTime Now, const ListParts &Parts);
+  std::optional<PartDigests> digestsToSend() const;
   PeerHeartbeat heartbeat(MonoTime Now, std::size_t Members);
   void beat(MonoTime Now, LinkId Which, detail::NewsLink &L,
             std::size_t Members);
   void beatAll(MonoTime Now);
   void keepLinks(MonoTime Now);
+  void connectSeeds();
+  void connectSeed(const Endpoint &Seed);
+  void lookForOthers();
   void closeUnwanted(const std::vector<Member> &Wanted);
   void connect(const Endpoint &Control);
   bool linkedTo(const std::string &Name) const;
@@ -126,6 +154,10 @@
   NewsCounters Counters_;
   RoutingTablePtr Routing_;
   UpstreamList List_;
+  ListParts Parts_;           ///< That `List_` has while it isn't complete.
+  std::size_t ToldParts_ = 0; ///< How many of them peers were told of.
+  std::size_t SeedAttempts_ = 0;
+  std::uint64_t Draws_ = 0; ///< Of balancers that look for other parts.
   EvacuationList Evacuations_;
   std::map<LinkId, detail::NewsLink> Links_;
   detail::MemberList Members_;
--- a/src/news-links.cc
+++ b/src/news-links.cc
@@ -11,14 +11,18 @@
 /// Members told of when a link opens, and with each heartbeat.
 constexpr std::size_t MembersAtOpening = 64;
 constexpr std::size_t MembersPerHeartbeat = 3;
+/// Ticks during which a start without links tries one seed only.
+constexpr std::size_t TriesOfOneSeed = 2;
 /// Heartbeats whose time of sending is remembered for a link.
 constexpr std::size_t SentTimesKept = 16;
 
 } // namespace
 
 void NewsExchange::Impl::opened(MonoTime Now, LinkId Which, bool OpenedHere) {
+  bool SentOn = !OpenedHere && acceptsNoMore();
   NewsLink &L = Links_[Which];
   L.OpenedHere_ = OpenedHere;
+  L.SentOn_ = SentOn;
   L.SilentAt_ = Now + SilentAfter;
   beat(Now, Which, L, MembersAtOpening);
 }
@@ -66,6 +70,9 @@
   if (Now - ReaderAt_ < ReadAfter)
     M.ReaderAgeMs_ = detail::ageMs(ReaderAt_, Now);
   M.PresentMs_ = detail::ageMs(PresentSince_, Now);
+  M.Listed_ = static_cast<std::uint32_t>(List_.size());
+  if (List_.through() == 0)
+    M.Parts_ = Parts_;
   M.Members_ = Members_.inTurn(Now, Count);
   return M;
 }
@@ -84,6 +91,7 @@
 
 void NewsExchange::Impl::beatAll(MonoTime Now) {
   ToldAsOf_ = KnownAsOf_;
+  ToldParts_ = Parts_.count();
   ToldReader_ = Reader_;
   NextBeat_ = Now + HeartbeatEvery;
   for (auto &[Which, L] : Links_)
@@ -105,7 +113,8 @@
   Members_.forgetSilent(Now);
   for (auto Item = Told_.begin(); Item != Told_.end();)
     Item = Now >= Item->second ? Told_.erase(Item) : std::next(Item);
-  if (Now >= NextBeat_)
+  bool MoreParts = List_.through() == 0 && Parts_.count() > ToldParts_;
+  if (Now >= NextBeat_ || MoreParts)
     beatAll(Now);
   keepLinks(Now);
 }
@@ -120,9 +129,9 @@
   if (Leaving_)
     return;
   if (Links_.empty())
-    for (const Endpoint &Seed : Options_.Seeds_)
-      if (Seed != Options_.Self_.Control_)
-        connect(Seed);
+    connectSeeds();
+  else
+    lookForOthers();
   std::vector<Member> Wanted =
       detail::choosePeers(Members_.reachable(Now), Options_.Self_, OpenedLinks);
   for (const Member &M : Wanted)
@@ -131,6 +140,44 @@
   closeUnwanted(Wanted);
 }
 
+/// First one of the seeds, so that each meets a part of a fleet that starts,
+/// then all. Seeds meet each other at once, which joins the parts.
+void NewsExchange::Impl::connectSeeds() {
+  const std::vector<Endpoint> &Seeds = Options_.Seeds_;
+  bool IsSeed = std::find(Seeds.begin(), Seeds.end(),
+                          Options_.Self_.Control_) != Seeds.end();
+  bool All = IsSeed || SeedAttempts_++ >= TriesOfOneSeed;
+  for (std::size_t I = 0; I < Seeds.size(); ++I)
+    if (All || Score_ % Seeds.size() == I)
+      connectSeed(Seeds[I]);
+}
+
+/// Seeds that are no members are where another part of the fleet may be: at
+/// each tick about one balancer of those that know each other tries.
+void NewsExchange::Impl::lookForOthers() {
+  std::uint64_t Draw = hashPair(Score_, ++Draws_);
+  if (Draw % (Members_.size() + 1) != 0)
+    return;
+  for (const Endpoint &Seed : Options_.Seeds_)
+    if (Members_.countIf([&](const Member &M) { return M.Control_ == Seed; }) ==
+        0)
+      connectSeed(Seed);
+}
+
+void NewsExchange::Impl::connectSeed(const Endpoint &Seed) {
+  if (Seed != Options_.Self_.Control_)
+    connect(Seed);
+}
+
+/// Whether enough links are accepted without a further one.
+bool NewsExchange::Impl::acceptsNoMore() const {
+  auto Accepted =
+      std::count_if(Links_.begin(), Links_.end(), [](const auto &Item) {
+        return !Item.second.OpenedHere_ && !Item.second.SentOn_;
+      });
+  return static_cast<std::size_t>(Accepted) >= AcceptedLinks;
+}
+
 /// Closes links opened to others than the wanted peers, to seeds for example,
 /// once those are linked to: the number of links stays bounded everywhere.
 void NewsExchange::Impl::closeUnwanted(const std::vector<Member> &Wanted) {
--- a/src/news-message.cc
+++ b/src/news-message.cc
@@ -16,6 +16,45 @@
   return std::max<std::int64_t>(Left.count(), 0);
 }
 
+Json toJson(const ListParts &Parts) {
+  std::vector<std::uint8_t> Bytes;
+  if (Parts.any())
+    Bytes.resize(ListPartCount / 8);
+  for (std::size_t Part = 0; Part < ListPartCount; ++Part)
+    if (Parts.test(Part))
+      Bytes[Part / 8] |= static_cast<std::uint8_t>(1U << (Part % 8));
+  return Json::binary(Bytes);
+}
+
+ListParts partsFrom(const Json &J) {
+  const std::vector<std::uint8_t> &Bytes = J.get_binary();
+  ListParts Parts;
+  if (Bytes.empty())
+    return Parts;
+  if (Bytes.size() != ListPartCount / 8)
+    throw std::invalid_argument("not a set of parts");
+  for (std::size_t Part = 0; Part < ListPartCount; ++Part)
+    Parts.set(Part, (Bytes[Part / 8] >> (Part % 8) & 1U) != 0);
+  return Parts;
+}
+
+Json toJson(const std::optional<PartDigests> &Digests) {
+  Json Result = Json::array();
+  if (Digests)
+    for (std::uint64_t Digest : *Digests)
+      Result.push_back(Digest);
+  return Result;
+}
+
+std::optional<PartDigests> digestsFrom(const Json &J) {
+  if (J.empty())
+    return std::nullopt;
+  PartDigests Result{};
+  for (std::size_t Part = 0; Part < ListPartCount; ++Part)
+    Result[Part] = J.at(Part).get<std::uint64_t>();
+  return Result;
+}
+
 Json toJson(const Member &M) {
   return {M.Name_, M.DataHall_, formatEndpoint(M.Control_), M.AgeMs_};
 }
@@ -24,13 +63,25 @@
   Json Members = Json::array();
   for (const Member &Other : M.Members_)
     Members.push_back(toJson(Other));
-  return {raw(Type::Heartbeat), toJson(M.Sender_), M.Leaving_,   M.Routing_,
-          M.Through_,           M.KnownAgeMs_,     M.Reader_,    M.ReaderAgeMs_,
-          M.Sequence_,          M.Echo_,           M.PresentMs_, Members};
+  return {raw(Type::Heartbeat),
+          toJson(M.Sender_),
+          M.Leaving_,
+          M.Routing_,
+          M.Through_,
+          M.KnownAgeMs_,
+          M.Reader_,
+          M.ReaderAgeMs_,
+          M.Sequence_,
+          M.Echo_,
+          M.PresentMs_,
+          Members,
+          M.Listed_,
+          toJson(M.Parts_)};
 }
 
 Json toJson(const NewsWanted &M, MonoTime) {
-  return {raw(Type::Wanted), M.Routing_, M.Through_, M.Ended_};
+  return Json::array({raw(Type::Wanted), M.Routing_, M.Through_, M.Ended_,
+                      toJson(M.Parts_), toJson(M.Digests_)});
 }
 
 Json toJson(const RoutingTable &Table) {
@@ -56,9 +107,9 @@
   if (!Change.Entry_)
     return Result;
   const UpstreamEntry &E = *Change.Entry_;
-  Result.push_back(Json::array({raw(E.Service_), formatEndpoint(E.At_),
-                                E.DataHall_, E.Slots_, E.Draining_,
-                                millisLeft(E.WarmAt_, Now), E.BornMs_}));
+  Result.push_back(Json::array(
+      {raw(E.Service_), formatEndpoint(E.At_), E.DataHall_, E.Slots_,
+       E.Draining_, millisLeft(E.WarmAt_, Now), E.BornMs_, E.Part_}));
   return Result;
 }
 
@@ -82,10 +133,18 @@
     Unchanged.push_back(raw(Which));
   Json Table = M.Routing_ ? toJson(*M.Routing_) : Json(nullptr);
   const UpstreamBatch &Batch = M.Upstreams_;
-  return {raw(Type::News),       Table,          Batch.Whole_,
-          Batch.After_,          Batch.Through_, toJson(Batch.Changes_, Now),
-          M.KnownAgeMs_,         Unchanged,      toJson(Batch.Ended_, Now),
-          toJson(M.Evacuations_)};
+  return {raw(Type::News),
+          Table,
+          Batch.Whole_,
+          Batch.After_,
+          Batch.Through_,
+          toJson(Batch.Changes_, Now),
+          M.KnownAgeMs_,
+          Unchanged,
+          toJson(Batch.Ended_, Now),
+          toJson(M.Evacuations_),
+          toJson(Batch.Same_),
+          toJson(M.Parts_)};
 }
 
 Json toJson(const UpstreamWarning &M, MonoTime) {
@@ -119,6 +178,8 @@
   M.PresentMs_ = J.at(10).get<std::uint32_t>();
   for (const Json &Item : J.at(11))
     M.Members_.push_back(memberFrom(Item));
+  M.Listed_ = J.at(12).get<std::uint32_t>();
+  M.Parts_ = partsFrom(J.at(13));
   return M;
 }
 
@@ -169,6 +230,7 @@
   E.Draining_ = Item.at(4).get<bool>();
   E.WarmAt_ = Now + std::chrono::milliseconds(Item.at(5).get<std::uint32_t>());
   E.BornMs_ = Item.at(6).get<std::uint64_t>();
+  E.Part_ = Item.at(7).get<std::uint8_t>();
   Change.Entry_ = E;
   return Change;
 }
@@ -206,6 +268,8 @@
     Change.Ended_ = true;
   }
   M.Evacuations_ = evacuationsFrom(J.at(9));
+  M.Upstreams_.Same_ = partsFrom(J.at(10));
+  M.Parts_ = partsFrom(J.at(11));
   return M;
 }
 
@@ -227,7 +291,8 @@
     return heartbeatFrom(J);
   case Type::Wanted:
     return NewsWanted{J.at(1).get<Version>(), J.at(2).get<Revision>(),
-                      J.at(3).get<bool>()};
+                      J.at(3).get<bool>(), partsFrom(J.at(4)),
+                      digestsFrom(J.at(5))};
   case Type::News:
     return newsFrom(J, Now);
   case Type::Warning:
--- /dev/null
+++ b/src/news-parts.cc
@@ -0,0 +1,76 @@
+#include "news-impl.h"
+
+#include <algorithm>
+
+namespace thymewall {
+
+using detail::NewsLink;
+
+namespace {
+
+/// As many of \p Wanted as have about \p Upstreams of \p Listed, from a part on
+/// that differs between balancers: else all ask for the same ones first.
+ListParts firstOf(const ListParts &Wanted, std::uint64_t From,
+                  std::size_t Upstreams, std::size_t Listed) {
+  std::size_t Most =
+      ListPartCount * Upstreams / std::max<std::size_t>(Listed, 1);
+  Most = std::max<std::size_t>(Most, 1);
+  ListParts Result;
+  for (std::size_t I = 0; I < ListPartCount && Result.count() < Most; ++I) {
+    std::size_t Part = (From + I) % ListPartCount;
+    if (Wanted.test(Part))
+      Result.set(Part);
+  }
+  return Result;
+}
+
+} // namespace
+
+/// Asks a peer for parts that it has and that nobody else was asked for: none
+/// comes twice, and no balancer sends the whole list to all.
+void NewsExchange::Impl::askForParts(MonoTime Now, LinkId Which) {
+  NewsLink &L = Links_[Which];
+  if (L.AskedParts_.any() && Now < L.AskedPartsUntil_)
+    return;
+  ListParts Wanted = L.PeerParts_ & ~Parts_;
+  for (const auto &[Other, Of] : Links_)
+    if (Other != Which && Now < Of.AskedPartsUntil_)
+      Wanted &= ~Of.AskedParts_;
+  if (Wanted.none())
+    return;
+  L.AskedParts_ =
+      firstOf(Wanted, Score_ + raw(Which), UpstreamsPerQuestion, L.peerList());
+  L.AskedPartsUntil_ = Now + AnswerWithin;
+  L.Questions_.push_back(false);
+  Version Ours = Routing_ ? Routing_->Version_ : 0;
+  Hooks_.Send_(Which, NewsWanted{Ours, 0, false, L.AskedParts_, std::nullopt});
+}
+
+void NewsExchange::Impl::takeParts(MonoTime Now, LinkId Which, const News &M) {
+  NewsLink &L = Links_[Which];
+  L.AskedParts_.reset();
+  if (List_.through() != 0)
+    return; // known by now, and to a revision
+  apply(Now, M.Routing_, M.Upstreams_, M.Evacuations_);
+  addParts(Now, M.Parts_);
+  if (startsByParts(L))
+    askForParts(Now, Which);
+}
+
+/// Peers are told of parts when there are twice as many as they know of, so
+/// that a start sends few heartbeats, and of the last one at once.
+void NewsExchange::Impl::addParts(MonoTime Now, const ListParts &Parts) {
+  Parts_ |= Parts;
+  if (List_.through() == 0 &&
+      (Parts_.count() >= 2 * ToldParts_ || Parts_.all()))
+    beatAll(Now);
+}
+
+/// With all parts here a peer that knows a revision tells the differences.
+std::optional<PartDigests> NewsExchange::Impl::digestsToSend() const {
+  if (List_.through() != 0 || !Parts_.all())
+    return std::nullopt;
+  return List_.digests();
+}
+
+} // namespace thymewall
--- a/src/news.cc
+++ b/src/news.cc
@@ -42,6 +42,8 @@
   takeClaim(Now, L, M);
   askIfBehind(Now, Which, M);
   closeSpare(Which, M.Sender_.Name_);
+  if (L.SentOn_)
+    Hooks_.Close_(Which); // it has been told of members by now
 }
 
 void NewsExchange::Impl::noteArrival(MonoTime Now, const PeerHeartbeat &M) {
@@ -96,6 +98,10 @@
   Version Ours = Routing_ ? Routing_->Version_ : 0;
   bool Behind = Ours < M.Routing_ || List_.through() < M.Through_;
   NewsLink &L = Links_[Which];
+  L.PeerParts_ = M.Through_ == 0 ? M.Parts_ : allParts();
+  L.PeerListed_ = M.Listed_;
+  if (startsByParts(L))
+    return askForParts(Now, Which);
   bool WantsEnded = EndedAnswers_ < AskedForEnded && !L.AskedEnded_ &&
                     detail::has(detail::Mechanism::EndedUpstreams);
   if ((!Behind && !WantsEnded) || Now < AskAgainAt_)
@@ -104,7 +110,9 @@
   L.AskedAt_ = Now;
   L.AskedEnded_ = L.AskedEnded_ || WantsEnded;
   L.Questions_.push_back(WantsEnded);
-  Hooks_.Send_(Which, NewsWanted{Ours, List_.through(), WantsEnded});
+  Hooks_.Send_(
+      Which,
+      NewsWanted{Ours, List_.through(), WantsEnded, {}, digestsToSend()});
 }
 
 void NewsExchange::Impl::take(MonoTime Now, LinkId Which, const NewsWanted &M) {
@@ -112,7 +120,13 @@
   Answer.KnownAgeMs_ = knownAgeMs(Now);
   if (Routing_ && Routing_->Version_ > M.Routing_)
     Answer.Routing_ = Routing_;
-  Answer.Upstreams_ = List_.since(M.Through_);
+  Answer.Parts_ = M.Parts_ & partsHere();
+  if (M.Parts_.any())
+    Answer.Upstreams_ = List_.parts(M.Parts_);
+  else if (M.Digests_)
+    Answer.Upstreams_ = List_.sinceDigests(*M.Digests_);
+  else
+    Answer.Upstreams_ = List_.since(M.Through_);
   Answer.Evacuations_ = Evacuations_.all();
   if (M.Ended_)
     Answer.Upstreams_.Ended_ = List_.ended();
@@ -121,10 +135,12 @@
 }
 
 void NewsExchange::Impl::take(MonoTime Now, LinkId Which, const News &M) {
-  AskAgainAt_ = Now;
   ++Counters_.NewsTaken_;
   if (Links_[Which].takeAnswer())
     ++EndedAnswers_;
+  if (M.Parts_.any())
+    return takeParts(Now, Which, M);
+  AskAgainAt_ = Now;
   if (!apply(Now, M.Routing_, M.Upstreams_, M.Evacuations_)) {
     ++Counters_.Gaps_; // the next heartbeat shows that we are behind
     return;
@@ -193,6 +209,11 @@
     Hooks_.OnEvacuations_(Changes);
 }
 
+void NewsExchange::Impl::readStale(MonoTime Now, const IntentAnswer &Answer) {
+  apply(Now, Answer.Routing_, Answer.Batch_, Answer.Evacuations_);
+  addParts(Now, Answer.Parts_.value_or(allParts()));
+}
+
 bool NewsExchange::Impl::readDone(MonoTime Now, const IntentAnswer &Answer,
                                   MonoTime AsOf) {
   Revision Before = List_.through();
@@ -230,7 +251,7 @@
   bool ReadsAnyway = !detail::has(detail::Mechanism::OneReader);
   if (ReadsAnyway || Rank == 0 || Reading_ || KnownAsOf_ == MonoTime{})
     return ReadAgainFrom_;
-  Micros Steps = ReadStep * std::min(Rank, ReadSteps);
+  Micros Steps = ReadStep * Rank;
   return std::max(ReadAgainFrom_, KnownAsOf_ + ReadAfter + Steps);
 }
 
--- a/src/packet-process-impl.h
+++ b/src/packet-process-impl.h
@@ -26,6 +26,10 @@
 /// How often the settings file is looked at without a signal.
 constexpr Micros SettingsLookEvery = std::chrono::seconds(2);
 
+/// A start reaches its first peer in some ten milliseconds, through a seed that
+/// hundreds ask at once in half a second.
+constexpr Micros FirstPeerWithin = std::chrono::milliseconds(1500);
+
 /// How recent knowledge must be to say that an address is unknown. Half a
 /// second of the bound is left for the packet's way and for the clocks.
 inline Micros resetWhenKnown(const PacketSettings &S) {
@@ -97,6 +101,7 @@
   MonoTime NextTick_{};
   MonoTime NextSettingsLook_{};
   MonoTime LastPacket_{};
+  MonoTime PeersBy_{}; ///< Without any by then, none can tell of the list.
   std::uint64_t Malformed_ = 0;
   std::uint64_t ServiceCalls_ = 0;
   std::uint64_t ServiceFailures_ = 0;
--- a/src/packet-process.cc
+++ b/src/packet-process.cc
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "packet-log.h"
 
+#include <algorithm>
 #include <random>
 
 namespace thymewall::detail {
@@ -24,6 +25,11 @@
   return {{S.Name_, S.DataHall_, S.AdvertisedControl_, 0}, S.Seeds_};
 }
 
+bool isSeed(const PacketSettings &S) {
+  return std::find(S.Seeds_.begin(), S.Seeds_.end(), S.AdvertisedControl_) !=
+         S.Seeds_.end();
+}
+
 const char *nameOf(DelayClass Class) {
   return Class == DelayClass::Open ? "open" : "request";
 }
@@ -65,7 +71,8 @@
       Openings_(Context,
                 [this](MonoTime Now, const std::uint8_t *Data,
                        std::size_t Size) { retryOpening(Now, Data, Size); }),
-      Checker_(Context, checkerHooks()), Reader_(randomShare()),
+      Checker_(Context, checkerHooks()),
+      Reader_(randomShare(), isSeed(Settings_)),
       Call_(Hooks_.MakeCaller_(Context, Settings_.Configuration_)),
       Links_(Context, Settings_.Control_, MaxNewsMessage, linkHooks()),
       News_(newsOptions(Settings_), newsHooks()),
@@ -76,6 +83,7 @@
           }),
       Timer_(Context), Signals_(Context, SIGTERM, SIGINT, SIGHUP) {
   NextSettingsLook_ = monoNow() + SettingsLookEvery;
+  PeersBy_ = monoNow() + FirstPeerWithin;
   Core_.arrived(monoNow()); // others may come with it
   awaitSignal();
   serveMetrics();
@@ -166,6 +174,8 @@
     NextTick_ = Now + PacketBalancer::TickEvery;
   }
   noteReady();
+  if (Now >= PeersBy_ && News_.fleetSize() == 1)
+    Reader_.noPeers(Now);
   startCall(Now);
   Timer_.expires_at(
       toSteady(std::min(NextTick_, Reader_.dueAt(News_.readFrom()))));
--- a/src/upstream-list.cc
+++ b/src/upstream-list.cc
@@ -70,7 +70,8 @@
     if (Change.Entry_)
       Present.insert(Change.Incarnation_);
   for (auto Item = Entries_.begin(); Item != Entries_.end();) {
-    bool Absent = Present.count(Item->first) == 0;
+    bool Absent = Present.count(Item->first) == 0 &&
+                  !Batch.Same_.test(Item->second.Entry_.Part_);
     bool ListedLater = Item->second.At_ > Batch.Through_;
     if (!Absent || ListedLater) {
       ++Item;
@@ -145,4 +146,32 @@
   return Batch;
 }
 
+PartDigests UpstreamList::digests() const {
+  PartDigests Result{};
+  for (const auto &[Which, Known] : Entries_)
+    Result[Known.Entry_.Part_] ^= hashPair(raw(Which), Known.At_);
+  return Result;
+}
+
+UpstreamBatch UpstreamList::sinceDigests(const PartDigests &Theirs) const {
+  UpstreamBatch Batch;
+  Batch.Whole_ = true;
+  Batch.Through_ = Through_;
+  PartDigests Ours = digests();
+  for (std::size_t Part = 0; Part < ListPartCount; ++Part)
+    Batch.Same_.set(Part, Ours[Part] == Theirs[Part]);
+  for (const auto &[Which, Known] : Entries_)
+    if (!Batch.Same_.test(Known.Entry_.Part_))
+      Batch.Changes_.push_back({Which, Known.At_, Known.Entry_});
+  return Batch;
+}
+
+UpstreamBatch UpstreamList::parts(const ListParts &Which) const {
+  UpstreamBatch Batch;
+  for (const auto &[Id, Known] : Entries_)
+    if (Which.test(Known.Entry_.Part_))
+      Batch.Changes_.push_back({Id, Known.At_, Known.Entry_});
+  return Batch;
+}
+
 } // namespace thymewall
--- /dev/null
+++ b/test/fleet-start-test.cc
@@ -0,0 +1,156 @@
+// What a fleet that starts at once asks of the configuration service and of its
+// members: nothing of it grows with balancers times upstreams.
+#include "news-fleet.h"
+#include "thymewall/list-parts.h"
+
+#include <doctest/doctest.h>
+
+using namespace thymewall;
+using namespace thymewall::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t UpstreamsOfEach = 30; ///< For each balancer.
+
+/// A fleet that has lost everything it knew, and starts at 3 s.
+class Starting {
+public:
+  explicit Starting(std::size_t Balancers, std::size_t Each = UpstreamsOfEach)
+      : Fleet_(Balancers, 5), Upstreams_(Balancers * Each) {
+    for (std::size_t Which = 0; Which < Balancers; ++Which)
+      Fleet_.kill(Which);
+    for (std::uint64_t I = 1; I <= Upstreams_; ++I) {
+      UpstreamEntry E;
+      E.Incarnation_ = Incarnation{1000 + I};
+      E.At_ = Endpoint::v4(static_cast<std::uint32_t>(1000 + I), 9000);
+      Fleet_.publish(E.Incarnation_, E);
+    }
+    Fleet_.run(3s);
+    Before_ = Fleet_.upstreamsServed();
+  }
+
+  void start() {
+    for (std::size_t Which = 0; Which < Fleet_.size(); ++Which)
+      Fleet_.restart(Which);
+  }
+  std::size_t served() const { return Fleet_.upstreamsServed() - Before_; }
+  /// How many balancers know at least this share of all upstreams.
+  std::size_t knowing(double Share) const {
+    auto All = static_cast<double>(Upstreams_);
+    std::size_t Count = 0;
+    for (std::size_t Which = 0; Which < Fleet_.size(); ++Which)
+      Count += static_cast<double>(Fleet_.listed(Which)) >= Share * All;
+    return Count;
+  }
+  NewsFleet &fleet() { return Fleet_; }
+
+private:
+  NewsFleet Fleet_;
+  std::size_t Upstreams_;
+  std::size_t Before_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("what a start reads does not grow with the list, and nobody is told "
+          "a part of it twice") {
+  for (std::size_t Balancers : {std::size_t{80}, std::size_t{160}}) {
+    CAPTURE(Balancers);
+    Starting S(Balancers);
+    S.start();
+    S.fleet().run(3s + 250ms);
+    // Parts until there are 64: the last one may go beyond by its own size.
+    std::size_t List = Balancers * UpstreamsOfEach;
+    std::size_t Read = PartsReading::LeastAtStart + 2 * List / ListPartCount;
+    CHECK(S.served() <= Balancers * Read);
+    CHECK(S.knowing(0.01) == Balancers); // all have some to open flows by
+    S.fleet().run(4s);
+    CHECK(S.served() <= Balancers * Read + 3 * List); // the seeds' whole lists
+    CHECK(S.knowing(1.0) == Balancers);
+    Revision R = S.fleet().publish();
+    S.fleet().run(6s);
+    CHECK(S.fleet().allKnow(R));
+    std::size_t Told = 0;
+    for (std::size_t Which = 0; Which < Balancers; ++Which)
+      Told += S.fleet().upstreamsTold(Which);
+    // A tenth more for what changes meanwhile.
+    CHECK(Told <= Balancers * List * 11 / 10);
+  }
+}
+
+TEST_CASE("links of every balancer stay few, also a seed's") {
+  for (std::size_t Balancers : {std::size_t{100}, std::size_t{400}}) {
+    CAPTURE(Balancers);
+    Starting S(Balancers, 1);
+    S.start();
+    S.fleet().run(5s);
+    for (std::size_t Which = 3; Which < Balancers; ++Which)
+      CHECK(S.fleet().mostLinks(Which) <= 60);
+    for (std::size_t Seed = 0; Seed < 3; ++Seed)
+      CHECK(S.fleet().news(Seed).counters().Links_ <= 60);
+  }
+}
+
+TEST_CASE("a fleet whose third is turned away starts by its peers") {
+  Starting S(80);
+  for (std::size_t Which = 0; Which < 80; Which += 3)
+    S.fleet().setTurnedAway(Which, true);
+  S.start();
+  S.fleet().run(4s);
+  CHECK(S.knowing(0.9) == 80);
+  S.fleet().run(8s);
+  CHECK(S.knowing(1.0) == 80);
+}
+
+TEST_CASE("an outage during the start makes nobody read the whole list") {
+  Starting S(80);
+  S.fleet().setServiceDown(true);
+  S.start();
+  S.fleet().run(6s);
+  CHECK(S.served() == 0);
+  S.fleet().setServiceDown(false);
+  S.fleet().run(9s);
+  CHECK(S.knowing(1.0) == 80);
+  CHECK(S.served() <= 80 * 100 + 6 * 2400);
+}
+
+TEST_CASE("one balancer reads for a fleet that has started") {
+  Starting S(80, 1);
+  S.start();
+  S.fleet().run(8s);
+  std::size_t Calls = S.fleet().calls();
+  S.fleet().run(18s);
+  // Its two calls a second, and a few of others.
+  CHECK(S.fleet().calls() - Calls <= 30);
+}
+
+TEST_CASE("while nobody reads, balancers try in turn, not all at once") {
+  // Nobody is served, and answers come late: the order of readers is long.
+  Starting S(200, 1);
+  S.start();
+  S.fleet().run(8s);
+  S.fleet().setServiceDown(true);
+  std::size_t Calls = S.fleet().calls();
+  S.fleet().run(11s);
+  // Knowledge is too old 1.5 s after the last answer; one a step since, with
+  // the calls that each repeats after its failure.
+  CHECK(S.fleet().calls() - Calls <= 60);
+}
+
+TEST_CASE("a part is read until there are enough upstreams") {
+  PartsReading Short(7);
+  Short.read(PartsReading::LeastInPart - 1);
+  CHECK(Short.listIsShort());
+  PartsReading Long(7);
+  CHECK(Long.next() == 7);
+  while (!Long.enough()) {
+    Long.read(20);
+    CHECK_FALSE(Long.listIsShort());
+  }
+  CHECK(Long.parts().count() == 4);
+  CHECK(Long.parts().test(7));
+  PartsReading Empty(0);
+  Empty.read(0);
+  CHECK(Empty.listIsShort());
+}
--- a/test/news-fleet.h
+++ b/test/news-fleet.h
@@ -58,6 +58,20 @@
   /// Stale lists are so old from now on.
   void setStaleBy(Micros Age) { StaleBy_ = Age; }
   std::size_t staleCalls() const { return StaleCalls_; }
+  /// Upstreams in all answers of the configuration service.
+  std::size_t upstreamsServed() const { return UpstreamsServed_; }
+  /// Upstreams that peers have told a member since its start, and all links
+  /// that it has had at once.
+  std::size_t upstreamsTold(std::size_t Which) const {
+    return Nodes_[Which].UpstreamsTold_;
+  }
+  std::size_t mostLinks(std::size_t Which) const {
+    return Nodes_[Which].MostLinks_;
+  }
+  /// Upstreams that a member has been told of, by whomever.
+  std::size_t listed(std::size_t Which) const {
+    return Nodes_[Which].Listed_.size();
+  }
   /// Every open link, and every call under way, says nothing any more; new ones
   /// work.
   void silenceConnections();
@@ -99,6 +113,9 @@
     std::vector<std::function<void()>> Held_; ///< While it is asleep.
     std::vector<UpstreamWarning> Warnings_;
     std::set<std::string> Evacuated_;
+    std::set<Incarnation> Listed_;
+    std::size_t UpstreamsTold_ = 0;
+    std::size_t MostLinks_ = 0;
     Version Routing_ = 0;
     std::uint64_t Life_ = 0; ///< Counts restarts.
     bool Alive_ = true;
@@ -120,6 +137,7 @@
   void serve(std::size_t Which, const IntentCall &Call, MonoTime Began);
   IntentAnswer answerNow(const IntentCall &Call) const;
   EvacuationBatch evacuationsNow(const IntentCall &Call, Revision End) const;
+  void keepParts(const IntentCall &Call, IntentAnswer &A) const;
   void take(std::size_t Which, const IntentAnswer &A);
   void noteClaim(std::size_t Which, MonoTime AsOf);
 
@@ -141,6 +159,7 @@
   std::size_t LastReader_ = 0;
   Micros WorstClaim_{};
   std::size_t StaleCalls_ = 0;
+  std::size_t UpstreamsServed_ = 0;
   Micros StaleBy_{0};
   bool ServiceDown_ = false;
 };
