--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -177,6 +177,10 @@
   /// away before it is gone: those that live are back within 2 s.
   static constexpr Micros LapseLimit = std::chrono::milliseconds(2000);
 
+  /// Changes told at once of which beliefs name each upstream: a list of
+  /// thousands at a start would drop all other lines.
+  static constexpr std::size_t NamedOneByOne = 16;
+
   /// The fabric leads flows to a host 0.5 to 1 s after its start; what was
   /// under way then is missed 0.6 s later, and counts for 2 s.
   static constexpr Micros SettlesWithin = std::chrono::milliseconds(2500);
--- a/include/thymewall/upstream-list.h
+++ b/include/thymewall/upstream-list.h
@@ -32,7 +32,7 @@
 inline bool operator==(const UpstreamEntry &A, const UpstreamEntry &B) {
   auto Fields = [](const UpstreamEntry &E) {
     return std::tie(E.Incarnation_, E.BornMs_, E.Service_, E.At_, E.DataHall_,
-                    E.Slots_, E.Draining_, E.WarmAt_);
+                    E.Slots_, E.Draining_, E.WarmAt_, E.Part_);
   };
   return Fields(A) == Fields(B);
 }
--- a/src/news-message.cc
+++ b/src/news-message.cc
@@ -1,6 +1,6 @@
 #include "thymewall/news-message.h"
 
-#include <nlohmann/json.hpp>
+#include "upstream-codec.h"
 
 namespace thymewall {
 
@@ -10,12 +10,6 @@
 
 enum class Type : std::uint8_t { Heartbeat = 1, Wanted, News, Warning };
 
-std::int64_t millisLeft(MonoTime Until, MonoTime Now) {
-  auto Left =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Until - Now);
-  return std::max<std::int64_t>(Left.count(), 0);
-}
-
 Json toJson(const ListParts &Parts) {
   std::vector<std::uint8_t> Bytes;
   if (Parts.any())
@@ -102,24 +96,6 @@
       {Table.Version_, Addresses, Names, Table.IdleLimit_.count(), Cold});
 }
 
-Json toJson(const UpstreamChange &Change, MonoTime Now) {
-  Json Result = Json::array({raw(Change.Incarnation_), Change.At_});
-  if (!Change.Entry_)
-    return Result;
-  const UpstreamEntry &E = *Change.Entry_;
-  Result.push_back(Json::array(
-      {raw(E.Service_), formatEndpoint(E.At_), E.DataHall_, E.Slots_,
-       E.Draining_, millisLeft(E.WarmAt_, Now), E.BornMs_, E.Part_}));
-  return Result;
-}
-
-Json toJson(const std::vector<UpstreamChange> &Changes, MonoTime Now) {
-  Json Result = Json::array();
-  for (const UpstreamChange &Change : Changes)
-    Result.push_back(toJson(Change, Now));
-  return Result;
-}
-
 Json toJson(const EvacuationBatch &Batch) {
   Json Halls = Json::array();
   for (const EvacuationChange &Change : Batch.Changes_)
@@ -138,10 +114,10 @@
           Batch.Whole_,
           Batch.After_,
           Batch.Through_,
-          toJson(Batch.Changes_, Now),
+          detail::encodeChanges(Batch.Changes_, Now),
           M.KnownAgeMs_,
           Unchanged,
-          toJson(Batch.Ended_, Now),
+          detail::encodeChanges(Batch.Ended_, Now),
           toJson(M.Evacuations_),
           toJson(Batch.Same_),
           toJson(M.Parts_)};
@@ -152,16 +128,9 @@
                       M.BornMs_, raw(M.Kind_)});
 }
 
-Endpoint endpointFrom(const Json &Value) {
-  Endpoint Where = parseEndpoint(Value.get_ref<const std::string &>());
-  if (Where.empty())
-    throw std::invalid_argument("no address");
-  return Where;
-}
-
 Member memberFrom(const Json &J) {
   return {J.at(0).get<std::string>(), J.at(1).get<std::string>(),
-          endpointFrom(J.at(2)), J.at(3).get<std::uint32_t>()};
+          detail::decodeEndpoint(J.at(2)), J.at(3).get<std::uint32_t>()};
 }
 
 NewsMessage heartbeatFrom(const Json &J) {
@@ -203,7 +172,8 @@
   auto Table = std::make_shared<RoutingTable>();
   Table->Version_ = J.at(0).get<Version>();
   for (const Json &Item : J.at(1))
-    Table->Addresses_[endpointFrom(Item.at(0))] = sharesFrom(Item.at(1));
+    Table->Addresses_[detail::decodeEndpoint(Item.at(0))] =
+        sharesFrom(Item.at(1));
   for (const Json &Name : J.at(2))
     Table->ServiceNames_[nameId(Name.get<std::string>())] =
         Name.get<std::string>();
@@ -214,34 +184,6 @@
   return Table;
 }
 
-UpstreamChange changeFrom(const Json &J, MonoTime Now) {
-  UpstreamChange Change;
-  Change.Incarnation_ = static_cast<Incarnation>(J.at(0).get<std::uint64_t>());
-  Change.At_ = J.at(1).get<Revision>();
-  if (J.size() == 2)
-    return Change;
-  const Json &Item = J.at(2);
-  UpstreamEntry E;
-  E.Incarnation_ = Change.Incarnation_;
-  E.Service_ = static_cast<ServiceId>(Item.at(0).get<std::uint32_t>());
-  E.At_ = endpointFrom(Item.at(1));
-  E.DataHall_ = Item.at(2).get<std::string>();
-  E.Slots_ = Item.at(3).get<std::uint32_t>();
-  E.Draining_ = Item.at(4).get<bool>();
-  E.WarmAt_ = Now + std::chrono::milliseconds(Item.at(5).get<std::uint32_t>());
-  E.BornMs_ = Item.at(6).get<std::uint64_t>();
-  E.Part_ = Item.at(7).get<std::uint8_t>();
-  Change.Entry_ = E;
-  return Change;
-}
-
-std::vector<UpstreamChange> changesFrom(const Json &J, MonoTime Now) {
-  std::vector<UpstreamChange> Changes;
-  for (const Json &Item : J)
-    Changes.push_back(changeFrom(Item, Now));
-  return Changes;
-}
-
 EvacuationBatch evacuationsFrom(const Json &J) {
   EvacuationBatch Batch{true, J.at(0).get<Revision>(), {}};
   for (const Json &Hall : J.at(1))
@@ -256,12 +198,12 @@
   M.Upstreams_.Whole_ = J.at(2).get<bool>();
   M.Upstreams_.After_ = J.at(3).get<Revision>();
   M.Upstreams_.Through_ = J.at(4).get<Revision>();
-  M.Upstreams_.Changes_ = changesFrom(J.at(5), Now);
+  M.Upstreams_.Changes_ = detail::decodeChanges(J.at(5), Now);
   M.KnownAgeMs_ = J.at(6).get<std::uint32_t>();
   for (const Json &Item : J.at(7))
     M.Upstreams_.Unchanged_.push_back(
         static_cast<Incarnation>(Item.get<std::uint64_t>()));
-  M.Upstreams_.Ended_ = changesFrom(J.at(8), Now);
+  M.Upstreams_.Ended_ = detail::decodeChanges(J.at(8), Now);
   for (UpstreamChange &Change : M.Upstreams_.Ended_) {
     if (!Change.Entry_)
       throw std::invalid_argument("no last entry");
--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -203,6 +203,7 @@
   MonoTime UnsettledUntil_{}; ///< The fabric may be moving flows.
   MonoTime NextTickBy_ = MonoTime::max();
   bool ListKnown_ = false;
+  bool InBulk_ = false; ///< Too many changes are told to name each.
   bool Serving_ = true;
   SilenceEvidence Evidence_;
   SilenceEvidence ShortAnswers_;
--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -11,6 +11,7 @@
     MonoTime Now, const std::vector<UpstreamChange> &Changes, bool MayReturn) {
   Now_ = Now;
   ListKnown_ = true;
+  InBulk_ = Changes.size() > NamedOneByOne;
   for (const UpstreamChange &Change : Changes) {
     if (Change.Ended_)
       putEnded(Change);
@@ -19,6 +20,7 @@
     else
       end(Change, MayReturn);
   }
+  InBulk_ = false;
 }
 
 void PacketBalancer::Impl::put(const UpstreamChange &Change) {
@@ -193,7 +195,8 @@
 
 void PacketBalancer::Impl::believe(Belief::Kind Kind,
                                    std::uint32_t Index) const {
-  if (!Options_.OnBelief_)
+  bool Named = !InBulk_ || Kind == Belief::Kind::Dead;
+  if (!Options_.OnBelief_ || !Named)
     return;
   const UpstreamRow &Up = Upstreams_.rows()[Index];
   Options_.OnBelief_(
--- a/src/packet-log.cc
+++ b/src/packet-log.cc
@@ -1,5 +1,6 @@
 #include "packet-log.h"
 
+#include <algorithm>
 #include <cstdio>
 
 namespace thymewall::detail {
@@ -121,6 +122,16 @@
               {{"data_hall", Change.DataHall_}, {"revision", Change.At_}});
 }
 
+void logUpstreams(const std::vector<UpstreamChange> &Changes,
+                  Revision Through) {
+  auto Listed = std::count_if(
+      Changes.begin(), Changes.end(),
+      [](const UpstreamChange &C) { return C.Entry_ && !C.Ended_; });
+  logDecision("upstreams_told", {{"listed", Listed},
+                                 {"ended", Changes.size() - Listed},
+                                 {"revision", Through}});
+}
+
 void logRouting(const RoutingTable &Table) {
   logDecision("routing_in_force", {{"version", Table.Version_},
                                    {"addresses", Table.Addresses_.size()}});
--- a/src/packet-log.h
+++ b/src/packet-log.h
@@ -16,6 +16,8 @@
 void logBelief(const Belief &B);
 void logReset(const ResetFlow &R);
 void logEvacuation(const EvacuationChange &Change);
+/// Many changes of the list at once: their numbers in place of a line each.
+void logUpstreams(const std::vector<UpstreamChange> &Changes, Revision Through);
 void logRouting(const RoutingTable &Table);
 
 /// Tells what this process knows of the configuration service: that calls to it
--- a/src/packet-process-news.cc
+++ b/src/packet-process-news.cc
@@ -117,6 +117,8 @@
   };
   Hooks.OnUpstreams_ = [this](const std::vector<UpstreamChange> &Changes,
                               bool MayReturn) {
+    if (Changes.size() > PacketBalancer::NamedOneByOne)
+      logUpstreams(Changes, News_.through());
     Core_.applyUpstreams(monoNow(), Changes, MayReturn);
     if (ReadyTold_)
       releaseHeld();
--- a/test/news-test.cc
+++ b/test/news-test.cc
@@ -253,7 +253,17 @@
   E.Slots_ = 3;
   E.Draining_ = true;
   E.WarmAt_ = Now + 1500ms;
+  E.BornMs_ = 1772424720123;
+  E.Part_ = 200;
+  UpstreamEntry Six = E;
+  Six.Incarnation_ = Incarnation{3};
+  Six.At_ = parseEndpoint("[2001:db8::7]:8080");
+  REQUIRE_FALSE(Six.At_.empty());
+  Six.DataHall_ = "other";
   M.Upstreams_.Changes_.push_back({E.Incarnation_, 9, E});
+  M.Upstreams_.Changes_.push_back({Six.Incarnation_, 9, Six});
+  M.Upstreams_.Same_.set(7);
+  M.Parts_.set(255);
   M.Upstreams_.Ended_.push_back({E.Incarnation_, 8, E, true});
   NewsMessage Out;
   std::string Bytes = encodeNews(M, Now);
@@ -265,6 +275,9 @@
   CHECK(Got.Routing_->nameOf(static_cast<ServiceId>(nameId("index"))) ==
         "index");
   CHECK(Got.Upstreams_.Changes_[1].Entry_ == E);
+  CHECK(Got.Upstreams_.Changes_[2].Entry_ == Six);
+  CHECK(Got.Upstreams_.Same_ == M.Upstreams_.Same_);
+  CHECK(Got.Parts_ == M.Parts_);
   CHECK_FALSE(Got.Upstreams_.Changes_[0].Entry_);
   REQUIRE(Got.Upstreams_.Ended_.size() == 1);
   CHECK(Got.Upstreams_.Ended_[0].Entry_ == E);
--- a/test/packet-balancer-test.cc
+++ b/test/packet-balancer-test.cc
@@ -344,3 +344,19 @@
     }
   });
 }
+
+TEST_CASE("a change is told by name, and a list of thousands is not") {
+  std::vector<Belief> Told;
+  PacketBalancer B =
+      PacketBalancerBuilder()
+          .onBelief([&](const Belief &Belief) { Told.push_back(Belief); })
+          .build();
+  std::vector<UpstreamChange> List;
+  for (std::uint64_t Id = 1; Id <= 1000; ++Id)
+    List.push_back(up(Id, Index));
+  B.applyUpstreams(at({}), List);
+  CHECK(Told.empty());
+  B.applyUpstreams(at({}), {gone(5)});
+  REQUIRE(Told.size() == 1);
+  CHECK(Told[0].Kind_ == Belief::Kind::Gone);
+}
