Who reads follows a balancer's place in the whole fleet, not among those it has heard of

What grows with the fleet: members over the few dozen that each hears of. Change: heartbeats tell the first 8 of the order in turn, so that all know them; a later place, and the size of the fleet, are judged from how dense these 8 lie. A balancer that knows nothing yet waits 10 ms for each place. Who begins to list tells so, and the next in the order wait for it. Ruled out: all members known to all (heartbeats would grow with the fleet); longer steps (the same dozen at a time). Tests: member-list-test (places in fleets of 100 to 12,000), fleet-start-test (400 balancers: the loss of the history, one reader); they fail on the code before.

--- a/include/thymewall/news.h
+++ b/include/thymewall/news.h
@@ -84,6 +84,9 @@
   /// bound: else all those beyond it would read in the same moment.
   static constexpr Micros ReadAfter = std::chrono::milliseconds(1500);
   static constexpr Micros ReadStep = std::chrono::milliseconds(100);
+  /// The same for a balancer that knows nothing yet: of a fleet that starts at
+  /// once few read before the first has told the others.
+  static constexpr Micros StartStep = std::chrono::milliseconds(10);
   /// A balancer that has read once gives its peers this long to tell it who
   /// reads before it reads again: links open in some ten milliseconds, and the
   /// reader confirms what is known every 0.5 s.
@@ -132,6 +135,8 @@
   void readStale(MonoTime Now, const IntentAnswer &Answer);
   /// A call of the configuration service was not served: another may take over.
   void readFailed();
+  /// This balancer has begun to read the whole list for the fleet.
+  void readingList(MonoTime Now);
   /// This balancer has evidence against an upstream: tells the fleet.
   void warn(MonoTime Now, const UpstreamWarning &M);
   void setLeaving(MonoTime Now);
--- a/src/intent-reader.cc
+++ b/src/intent-reader.cc
@@ -40,7 +40,11 @@
 }
 
 MonoTime IntentReader::dueAt(MonoTime ReadFrom) const {
-  return UnderWay_ ? MonoTime::max() : std::max(DueAt_, ReadFrom);
+  if (UnderWay_)
+    return MonoTime::max();
+  // A start reads what it serves by, whoever reads for the fleet.
+  bool Starts = ListWanted_ && StaleWanted_;
+  return Starts ? DueAt_ : std::max(DueAt_, ReadFrom);
 }
 
 void IntentReader::known(Revision Through) {
--- a/src/member-list.cc
+++ b/src/member-list.cc
@@ -1,6 +1,7 @@
 #include "member-list.h"
 
 #include "mechanism.h"
+#include "peer-choice.h"
 
 #include <algorithm>
 
@@ -21,6 +22,7 @@
   if (Known.AliveAt_ >= AliveAt)
     return;
   Known.Member_ = Told;
+  Known.Score_ = readScore(Told.Name_);
   Known.AliveAt_ = AliveAt;
 }
 
@@ -99,4 +101,54 @@
   return Result;
 }
 
+std::vector<const MemberList::Row *> MemberList::firstRows() const {
+  std::vector<const Row *> Rows;
+  for (const auto &[Name, Known] : Known_)
+    Rows.push_back(&Known);
+  auto Middle =
+      Rows.begin() + static_cast<long>(std::min(FirstKnown, Rows.size()));
+  std::partial_sort(
+      Rows.begin(), Middle, Rows.end(),
+      [](const Row *A, const Row *B) { return A->Score_ < B->Score_; });
+  Rows.erase(Middle, Rows.end());
+  return Rows;
+}
+
+std::vector<Member> MemberList::firstInTurn(MonoTime Now) {
+  if (hearsOfAll())
+    return {};
+  std::vector<const Row *> First = firstRows();
+  const Row &Next = *First[NextFirst_++ % First.size()];
+  Member Told = Next.Member_;
+  Told.AgeMs_ = ageMs(Next.AliveAt_, Now);
+  return {Told};
+}
+
+/// Scores are spread evenly: the last of the first ones tells how many
+/// balancers there are up to it.
+double MemberList::balancersPerScore() const {
+  std::uint64_t Last = firstRows().back()->Score_;
+  return static_cast<double>(FirstKnown) / static_cast<double>(Last);
+}
+
+std::size_t MemberList::placeOf(std::uint64_t Score) const {
+  std::size_t Before = 0;
+  for (const auto &[Name, Known] : Known_)
+    Before += Known.Score_ < Score ? 1 : 0;
+  if (hearsOfAll() || Before < FirstKnown)
+    return Before;
+  auto Judged = static_cast<std::size_t>(balancersPerScore() *
+                                         static_cast<double>(Score));
+  return std::max(Before, Judged);
+}
+
+std::size_t MemberList::fleetSize() const {
+  std::size_t Heard = Known_.size() + 1;
+  if (hearsOfAll())
+    return Heard;
+  constexpr double Highest = 18446744073709551616.0; // 2^64
+  auto Judged = static_cast<std::size_t>(balancersPerScore() * Highest);
+  return std::max(Heard, Judged);
+}
+
 } // namespace thymewall::detail
--- a/src/member-list.h
+++ b/src/member-list.h
@@ -23,6 +23,10 @@
   /// of 6 links. In a larger fleet silence of one says nothing.
   static constexpr std::size_t HeardOf = 18;
 
+  /// The first members in the order of readers, which every balancer is to
+  /// know whatever the size of the fleet.
+  static constexpr std::size_t FirstKnown = 8;
+
   /// \p Self is never listed.
   explicit MemberList(std::string Self) : Self_(std::move(Self)) {}
 
@@ -45,6 +49,16 @@
   std::vector<Member> reachable(MonoTime Now) const;
   /// The next \p Count members, in turn, with their ages.
   std::vector<Member> inTurn(MonoTime Now, std::size_t Count);
+  /// One of the first in the order of readers, in turn; none where each hears
+  /// of all members anyway.
+  std::vector<Member> firstInTurn(MonoTime Now);
+
+  /// Place in the order of readers of a balancer with this score. Where most
+  /// members are not known, judged from how dense the first ones lie: else one
+  /// balancer of each few dozen takes itself for the first.
+  std::size_t placeOf(std::uint64_t Score) const;
+  /// How many balancers there are, this one among them; judged in the same way.
+  std::size_t fleetSize() const;
 
 private:
   /// How many of a data hall are known, and how many of these live.
@@ -56,13 +70,19 @@
 
   struct Row {
     Member Member_;
+    std::uint64_t Score_ = 0; ///< In the order of readers.
     MonoTime AliveAt_{};
     MonoTime AvoidUntil_{};
   };
 
+  bool hearsOfAll() const { return Known_.size() <= HeardOf; }
+  std::vector<const Row *> firstRows() const;
+  double balancersPerScore() const;
+
   std::string Self_;
   std::map<std::string, Row> Known_;
   std::string LastInTurn_;
+  std::size_t NextFirst_ = 0; ///< Of `firstRows`, to be told.
 };
 
 } // namespace thymewall::detail
--- a/src/news-impl.h
+++ b/src/news-impl.h
@@ -83,6 +83,7 @@
   bool readDone(MonoTime Now, const IntentAnswer &Answer, MonoTime AsOf);
   void readStale(MonoTime Now, const IntentAnswer &Answer);
   void readFailed() { Reading_ = false; }
+  void readingList(MonoTime Now);
   void warn(MonoTime Now, const UpstreamWarning &M) { tell(Now, M, nullptr); }
   void setLeaving(MonoTime Now);
   void setSeeds(std::vector<Endpoint> Seeds) {
@@ -93,7 +94,7 @@
   Revision through() const { return List_.through(); }
   MonoTime knownAsOf() const { return KnownAsOf_; }
   std::size_t fleetSize() const {
-    return Links_.empty() ? 1 : Members_.size() + 1;
+    return Links_.empty() ? 1 : Members_.fleetSize();
   }
   FleetView fleetView(MonoTime Now) const;
   bool hallIsLost(MonoTime Now) const {
@@ -147,7 +148,6 @@
     return KnownAsOf_ == MonoTime{} ? PeerHeartbeat::NeverKnown
                                     : detail::ageMs(KnownAsOf_, Now);
   }
-  std::size_t readRank() const;
 
   NewsOptions Options_;
   NewsHooks Hooks_;
--- a/src/news-links.cc
+++ b/src/news-links.cc
@@ -74,6 +74,8 @@
   if (List_.through() == 0)
     M.Parts_ = Parts_;
   M.Members_ = Members_.inTurn(Now, Count);
+  for (const Member &First : Members_.firstInTurn(Now))
+    M.Members_.push_back(First);
   return M;
 }
 
--- a/src/news.cc
+++ b/src/news.cc
@@ -241,18 +241,26 @@
   return View;
 }
 
-std::size_t NewsExchange::Impl::readRank() const {
-  return Members_.countIf(
-      [&](const Member &M) { return detail::readScore(M.Name_) < Score_; });
+/// A list takes so long that knowledge grows old meanwhile: without word of it
+/// all those next in the order would list, too.
+void NewsExchange::Impl::readingList(MonoTime Now) {
+  if (KnownAsOf_ == MonoTime{})
+    return;
+  noteReader(Score_, Now, Now);
+  beatAll(Now);
 }
 
 MonoTime NewsExchange::Impl::readFrom() const {
-  std::size_t Rank = readRank();
+  std::size_t Place = Members_.placeOf(Score_);
   bool ReadsAnyway = !detail::has(detail::Mechanism::OneReader);
-  if (ReadsAnyway || Rank == 0 || Reading_ || KnownAsOf_ == MonoTime{})
+  if (ReadsAnyway || Place == 0 || Reading_)
     return ReadAgainFrom_;
-  Micros Steps = ReadStep * Rank;
-  return std::max(ReadAgainFrom_, KnownAsOf_ + ReadAfter + Steps);
+  auto Steps = static_cast<Micros::rep>(Place);
+  if (KnownAsOf_ == MonoTime{}) // peers are about to tell
+    return std::max(ReadAgainFrom_, PresentSince_ + StartStep * Steps);
+  MonoTime ToldAt =
+      Reader_ < Score_ ? std::max(KnownAsOf_, ReaderAt_) : KnownAsOf_;
+  return std::max(ReadAgainFrom_, ToldAt + ReadAfter + ReadStep * Steps);
 }
 
 NewsCounters NewsExchange::Impl::counters() const {
@@ -285,6 +293,7 @@
   Impl_->warn(Now, M);
 }
 void NewsExchange::readFailed() { Impl_->readFailed(); }
+void NewsExchange::readingList(MonoTime Now) { Impl_->readingList(Now); }
 void NewsExchange::readStale(MonoTime Now, const IntentAnswer &Answer) {
   Impl_->readStale(Now, Answer);
 }
--- a/src/packet-process-news.cc
+++ b/src/packet-process-news.cc
@@ -14,6 +14,8 @@
   if (!Call)
     return;
   ++ServiceCalls_;
+  if (Call->Kind_ == IntentCall::Kind::List)
+    News_.readingList(Now);
   Call_(*Call, [this](const IntentAnswer &Answer) { onAnswer(Answer); });
 }
 
--- a/test/fleet-start-test.cc
+++ b/test/fleet-start-test.cc
@@ -116,13 +116,38 @@
 }
 
 TEST_CASE("one balancer reads for a fleet that has started") {
-  Starting S(80, 1);
+  for (std::size_t Balancers : {std::size_t{80}, std::size_t{400}}) {
+    CAPTURE(Balancers);
+    Starting S(Balancers, 1);
+    S.start();
+    S.fleet().run(8s);
+    std::size_t Calls = S.fleet().calls();
+    S.fleet().run(18s);
+    // Its two calls a second, and a few of others.
+    CHECK(S.fleet().calls() - Calls <= 30);
+  }
+}
+
+TEST_CASE("the loss of the history costs a fleet few lists") {
+  Starting S(400, 1);
   S.start();
-  S.fleet().run(8s);
+  S.fleet().run(10s);
+  // Changes that no watch tells, and then nobody can.
+  for (std::size_t Which = 0; Which < 400; ++Which)
+    S.fleet().setSilent(Which, true);
+  S.fleet().run(11s);
+  S.fleet().publish();
+  S.fleet().loseHistory(1200ms);
+  for (std::size_t Which = 0; Which < 400; ++Which)
+    S.fleet().setSilent(Which, false);
   std::size_t Calls = S.fleet().calls();
-  S.fleet().run(18s);
-  // Its two calls a second, and a few of others.
-  CHECK(S.fleet().calls() - Calls <= 30);
+  S.fleet().run(15s);
+  // Those whose turn came in the silent second, a watch and a list each, and
+  // the reader's two a second.
+  CHECK(S.fleet().calls() - Calls <= 2 * 20 + 8);
+  Revision R = S.fleet().publish();
+  S.fleet().run(17s);
+  CHECK(S.fleet().allKnow(R));
 }
 
 TEST_CASE("while nobody reads, balancers try in turn, not all at once") {
--- a/test/member-list-test.cc
+++ b/test/member-list-test.cc
@@ -1,5 +1,7 @@
 #include "member-list.h"
+#include "peer-choice.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <set>
 
@@ -65,3 +67,64 @@
     CHECK(Told.count(Name) == 2);
   CHECK(List.inTurn(at(500ms), 64).size() == 5);
 }
+
+namespace {
+
+/// How the first \p Count members of a fleet are placed by one that has heard
+/// of the first ones and of each \p HeardOf-th of the others.
+struct Sample {
+  Sample(std::size_t Count, std::size_t HeardOf) : List_("lb-self") {
+    std::vector<std::uint64_t> Scores;
+    for (std::size_t I = 0; I < Count; ++I)
+      Scores.push_back(readScore("lb-" + std::to_string(I)));
+    Sorted_ = Scores;
+    std::sort(Sorted_.begin(), Sorted_.end());
+    std::uint64_t LastFirst = Sorted_[MemberList::FirstKnown - 1];
+    for (std::size_t I = 0; I < Count; ++I)
+      if (Scores[I] <= LastFirst || I % HeardOf == 0)
+        List_.learn(MonoTime(std::chrono::seconds(100)),
+                    {"lb-" + std::to_string(I), "hall",
+                     Endpoint::v4(static_cast<std::uint32_t>(I + 1), 8166), 0});
+  }
+
+  MemberList List_;
+  std::vector<std::uint64_t> Sorted_;
+};
+
+} // namespace
+
+TEST_CASE("places in the order of readers hold where few members are known") {
+  for (std::size_t Count : {100U, 585U, 2000U, 12000U}) {
+    CAPTURE(Count);
+    Sample S(Count, Count / 45);
+    for (std::size_t Place = 0; Place < MemberList::FirstKnown; ++Place)
+      CHECK(S.List_.placeOf(S.Sorted_[Place]) == Place);
+    // Of 8 first ones the density is known to about a third, twice that at
+    // worst here.
+    std::size_t Last = S.List_.placeOf(S.Sorted_.back());
+    CHECK(Last >= Count * 35 / 100);
+    CHECK(Last <= Count * 3);
+    CHECK(S.List_.fleetSize() >= Count * 35 / 100);
+    CHECK(S.List_.fleetSize() <= Count * 3);
+  }
+}
+
+TEST_CASE("where all members are heard of, places and sizes are exact") {
+  Sample S(18, 1);
+  for (std::size_t Place = 0; Place < 18; ++Place)
+    CHECK(S.List_.placeOf(S.Sorted_[Place]) == Place);
+  CHECK(S.List_.fleetSize() == 19);
+  CHECK(S.List_.firstInTurn(MonoTime(std::chrono::seconds(100))).empty());
+}
+
+TEST_CASE("the first in the order are told in turn") {
+  Sample S(585, 13);
+  std::set<std::string> Told;
+  for (std::size_t I = 0; I < MemberList::FirstKnown; ++I)
+    for (const Member &M :
+         S.List_.firstInTurn(MonoTime(std::chrono::seconds(101))))
+      Told.insert(M.Name_);
+  CHECK(Told.size() == MemberList::FirstKnown);
+  for (const std::string &Name : Told)
+    CHECK(readScore(Name) <= S.Sorted_[MemberList::FirstKnown - 1]);
+}
--- a/test/news-fleet.cc
+++ b/test/news-fleet.cc
@@ -295,6 +295,8 @@
   N.Reader_->known(N.News_->through());
   auto Call = N.Reader_->next(Events_.now(), N.News_->readFrom());
   if (Call) {
+    if (Call->Kind_ == IntentCall::Kind::List)
+      N.News_->readingList(Events_.now());
     ++(Call->Kind_ == IntentCall::Kind::StaleList ? StaleCalls_ : Calls_);
     LastReader_ = Which;
     serve(Which, *Call, Events_.now());
@@ -330,12 +332,18 @@
     Refused.Outcome_ = IntentAnswer::Outcome::Refused;
     return Answer(ServiceDelay, Refused);
   }
+  if (Call.Kind_ == IntentCall::Kind::Watch && Call.After_ < HistoryFrom_) {
+    IntentAnswer Gone;
+    Gone.Outcome_ = IntentAnswer::Outcome::HistoryGone;
+    return Answer(ServiceDelay, Gone);
+  }
   bool News =
       Call.Kind_ != IntentCall::Kind::Watch || Log_.size() > Call.After_;
   if (News || Events_.now() >= Call.WaitUntil_) {
     IntentAnswer A = answerNow(Call);
     UpstreamsServed_ += A.Batch_.Changes_.size();
-    return Answer(ServiceDelay, A);
+    bool Whole = Call.Kind_ == IntentCall::Kind::List;
+    return Answer(ServiceDelay + (Whole ? ListTakes_ : Micros(0)), A);
   }
   Events_.after(WatchLook, [=] {
     if (Nodes_[Which].Alive_ && Nodes_[Which].Life_ == Life)
--- a/test/news-fleet.h
+++ b/test/news-fleet.h
@@ -55,6 +55,11 @@
   /// Packets between two members are held up; they arrive when it ends.
   void setHeldUp(std::size_t A, std::size_t B, bool HeldUp);
   void setServiceDown(bool Down) { ServiceDown_ = Down; }
+  /// Changes so far are no longer told by watches, and a list takes so long.
+  void loseHistory(Micros ListTakes) {
+    HistoryFrom_ = Log_.size();
+    ListTakes_ = ListTakes;
+  }
   /// Stale lists are so old from now on.
   void setStaleBy(Micros Age) { StaleBy_ = Age; }
   std::size_t staleCalls() const { return StaleCalls_; }
@@ -161,6 +166,8 @@
   std::size_t StaleCalls_ = 0;
   std::size_t UpstreamsServed_ = 0;
   Micros StaleBy_{0};
+  Micros ListTakes_{0};
+  Revision HistoryFrom_ = 0;
   bool ServiceDown_ = false;
 };
 
