Owners of a cold upstream's limit stay few where most of the fleet is not known

Cause: owners are the first by rendezvous among the members heard of; of 585 each hears of some 45, so that a limit of 50 had 38 owners in place of 3, beyond the six times that their parts bear: the limit of a cold upstream would not hold in a large fleet. Change: where more balancers are judged to be there than are known, a balancer must also come early enough in the judged fleet. Test: cold-admission-test, 585 and 4,000 balancers that each know 45; fails before.

--- a/include/thymewall/cold-admission.h
+++ b/include/thymewall/cold-admission.h
@@ -38,14 +38,16 @@
 
 /// The fleet as one balancer believes it to be.
 struct FleetView {
-  std::uint64_t Self_ = 0; ///< Hash of this balancer's name.
-  std::vector<std::uint64_t> Others_;
+  std::uint64_t Self_ = 0;            ///< Hash of this balancer's name.
+  std::vector<std::uint64_t> Others_; ///< That it has heard of.
   /// It has been here for long enough to have heard of the others, and stays.
   bool Settled_ = false;
+  /// How many balancers there are, as it judges; not below those it knows.
+  std::size_t Balancers_ = 1;
 };
 inline bool operator==(const FleetView &A, const FleetView &B) {
   auto Fields = [](const FleetView &V) {
-    return std::tie(V.Self_, V.Others_, V.Settled_);
+    return std::tie(V.Self_, V.Others_, V.Settled_, V.Balancers_);
   };
   return Fields(A) == Fields(B);
 }
@@ -80,6 +82,7 @@
     bool Owns_ = false;
   };
   bool owns(Incarnation Upstream, std::size_t Owners) const;
+  std::size_t judgedBefore(std::uint64_t Own) const;
 
   FleetView View_;
   std::uint64_t ViewNumber_ = 0;
--- a/src/cold-admission.cc
+++ b/src/cold-admission.cc
@@ -67,7 +67,17 @@
                               [&](std::uint64_t Other) {
                                 return hashPair(Other, raw(Upstream)) < Own;
                               });
-  return static_cast<std::size_t>(Before) < Owners;
+  bool AmongKnown = static_cast<std::size_t>(Before) < Owners;
+  bool KnowsAll = View_.Balancers_ <= View_.Others_.size() + 1;
+  return AmongKnown && (KnowsAll || judgedBefore(Own) < Owners);
+}
+
+/// How many balancers of the whole fleet come before one with this hash. Where
+/// most are not known, a place among the known alone makes owners of many.
+std::size_t ColdAdmission::judgedBefore(std::uint64_t Own) const {
+  double Share = std::ldexp(static_cast<double>(Own), -64);
+  return static_cast<std::size_t>(Share *
+                                  static_cast<double>(View_.Balancers_));
 }
 
 } // namespace thymewall
--- a/src/news-links.cc
+++ b/src/news-links.cc
@@ -42,7 +42,7 @@
   Links_.erase(Known);
   if (!linkedTo(Peer))
     Members_.avoid(Peer, Now + AvoidFor);
-  if (Links_.empty())
+  if (Links_.empty() && !Leaving_)
     linkToWanted(Now); // a seed may have sent this balancer on
 }
 
--- a/src/news.cc
+++ b/src/news.cc
@@ -237,6 +237,7 @@
   View.Self_ = Score_;
   for (const Member &M : Members_.all())
     View.Others_.push_back(detail::readScore(M.Name_));
+  View.Balancers_ = fleetSize();
   View.Settled_ = !Leaving_ && Now - PresentSince_ >= ArrivedWithin;
   return View;
 }
--- a/test/cold-admission-test.cc
+++ b/test/cold-admission-test.cc
@@ -169,3 +169,29 @@
   B.applyUpstreams(at(0ms), {cold(1, 5s), cold(2, 5s)});
   CHECK(openings(B, 0ms)[0] == 0);
 }
+
+TEST_CASE("owners stay few where each balancer has heard of few others") {
+  const ColdLimit Limit{50, 1.5, 5};
+  std::size_t Wanted = coldParts(Limit).Owners_;
+  for (std::size_t Fleet : {585U, 4000U}) {
+    for (double Judged : {0.6, 1.0, 1.6}) { // of the true size
+      CAPTURE(Fleet);
+      CAPTURE(Judged);
+      std::map<std::uint64_t, std::size_t> Owners;
+      for (std::size_t Which = 0; Which < Fleet; ++Which) {
+        FleetView View{hashPair(Which, 1), {}, true};
+        for (std::uint64_t I = 0; I < 45; ++I)
+          View.Others_.push_back(hashPair(hashPair(Which, I) % Fleet, 1));
+        View.Balancers_ =
+            static_cast<std::size_t>(Judged * static_cast<double>(Fleet));
+        ColdAdmission Cold;
+        Cold.setFleet(View);
+        for (std::uint64_t Up = 1; Up <= 20; ++Up)
+          Owners[Up] += Cold.admits(at(0ms), Incarnation{Up}, Limit) ? 1 : 0;
+      }
+      // The parts hold the limit while there are six times as many.
+      for (const auto &[Up, Count] : Owners)
+        CHECK(Count <= 6 * Wanted);
+    }
+  }
+}
