Messages and bytes between balancers are counted by kind

Cause: what control costs could not be told from forwarded packets, so that the capacity page carried everything on. Change: metrics of heartbeats, questions, news and warnings, sent and received. Test: packet-pages-test.

--- a/src/packet-pages.cc
+++ b/src/packet-pages.cc
@@ -11,6 +11,17 @@
 using Json = nlohmann::json;
 using Number = std::pair<std::string, std::uint64_t>;
 
+void addTraffic(
+    const char *Way,
+    const std::array<PeerTraffic::Count, PeerTraffic::Kinds> &Counts,
+    std::vector<Number> &To) {
+  for (std::size_t Kind = 0; Kind < PeerTraffic::Kinds; ++Kind) {
+    std::string Of = std::string(PeerTraffic::Names[Kind]) + "_" + Way;
+    To.emplace_back("peer_messages_" + Of, Counts[Kind].Messages_);
+    To.emplace_back("peer_bytes_" + Of, Counts[Kind].Bytes_);
+  }
+}
+
 std::vector<Number> numbers(const PacketReport &R) {
   const PacketCounters &C = R.Counters_;
   std::vector<Number> Result = {
@@ -42,6 +53,8 @@
       {"service_items_refused", R.RefusedItems_},
       {"reads_for_fleet", R.Reads_ ? 1U : 0U},
       {"log_lines_dropped", R.LogLinesDropped_}};
+  addTraffic("sent", R.Traffic_.allSent(), Result);
+  addTraffic("received", R.Traffic_.allReceived(), Result);
   for (std::size_t I = 1; I < C.Errors_.size(); ++I)
     if (C.Errors_[I] != 0)
       Result.emplace_back(
--- a/src/packet-pages.h
+++ b/src/packet-pages.h
@@ -3,6 +3,7 @@
 #ifndef THYMEWALL_SRC_PACKET_PAGES_H
 #define THYMEWALL_SRC_PACKET_PAGES_H
 
+#include "peer-traffic.h"
 #include "process-pages.h"
 #include "thymewall/metrics.h"
 #include "thymewall/news.h"
@@ -19,6 +20,7 @@
   PacketStatus Status_;
   PacketCounters Counters_;
   NewsCounters News_;
+  PeerTraffic Traffic_;
   std::vector<PeerStatus> Peers_;
   RoutingTablePtr Routing_;
   std::uint64_t Malformed_ = 0;
--- a/src/packet-process-control.cc
+++ b/src/packet-process-control.cc
@@ -67,6 +67,7 @@
   R.Status_ = Core_.status(R.Now_);
   R.Counters_ = Core_.counters();
   R.News_ = News_.counters();
+  R.Traffic_ = Traffic_;
   R.Peers_ = News_.peers();
   R.Routing_ = Routing_;
   R.Malformed_ = Malformed_;
--- a/src/packet-process-impl.h
+++ b/src/packet-process-impl.h
@@ -93,6 +93,7 @@
   IntentCaller Call_;
   PeerLinks Links_;
   NewsExchange News_;
+  PeerTraffic Traffic_;
   HttpServer Readiness_;
   std::optional<HttpServer> Metrics_;
   ServiceLog ServiceLog_;
--- a/src/packet-process-news.cc
+++ b/src/packet-process-news.cc
@@ -87,6 +87,7 @@
   NewsMessage M;
   ErrorKind Kind = decodeNews(Bytes, Now, M);
   if (Kind == ErrorKind::None) {
+    Traffic_.received(M, Bytes.size());
     News_.received(Now, Link, M);
     return noteReady();
   }
@@ -106,7 +107,9 @@
 NewsHooks PacketProcess::Impl::newsHooks() {
   NewsHooks Hooks;
   Hooks.Send_ = [this](LinkId Link, const NewsMessage &M) {
-    Links_.send(Link, encodeNews(M, monoNow()));
+    std::string Bytes = encodeNews(M, monoNow());
+    Traffic_.sent(M, Bytes.size());
+    Links_.send(Link, Bytes);
   };
   Hooks.Connect_ = [this](const Endpoint &Control) {
     Links_.connect(formatEndpoint(Control));
--- a/test/packet-pages-test.cc
+++ b/test/packet-pages-test.cc
@@ -51,6 +51,15 @@
         std::string::npos);
   CHECK(Page.Body_.find("thymewall_routing_version 7\n") != std::string::npos);
   CHECK(Page.Body_.find("thymewall_delay_seconds") != std::string::npos);
+  R.Report_.Traffic_.sent(UpstreamWarning{}, 24);
+  R.Report_.Traffic_.sent(UpstreamWarning{}, 24);
+  R.Report_.Traffic_.received(News{}, 5000);
+  Page = packetPage(R.Report_, "/metrics");
+  for (const char *Line : {"thymewall_peer_messages_warning_sent 2\n",
+                           "thymewall_peer_bytes_warning_sent 48\n",
+                           "thymewall_peer_bytes_news_received 5000\n",
+                           "thymewall_peer_bytes_heartbeat_received 0\n"})
+    CHECK(Page.Body_.find(Line) != std::string::npos);
   CHECK(packetPage(R.Report_, "/histograms").Status_ == 200);
   CHECK(packetPage(R.Report_, "/other").Status_ == 404);
 }
