A part of a large fleet that is cut off reads for itself within 5 s

Change: heartbeats tell the first of the order that is known to live and how long ago, passed on at once and believed only if provably recent; while it lives places count; 2.5 s after its last word the members of a part read, spread over 0.8 s. Without links a balancer reads 1.5 s after its last news. Fleets of up to 18 keep eight steps. Ruled out: eight steps for all (229 calls of 200 balancers in the test of turns); a cap in time (585 calls in each outage of 5 s).

--- a/include/thymewall/news-message.h
+++ b/include/thymewall/news-message.h
@@ -39,6 +39,10 @@
   /// reader that the sender has heard of lately. `NeverKnown` for none.
   std::uint64_t Reader_ = 0;
   std::uint32_t ReaderAgeMs_ = NeverKnown;
+  /// The same of the first balancer that is known to live, and how long ago it
+  /// said so.
+  std::uint64_t Living_ = 0;
+  std::uint32_t LivingAgeMs_ = NeverKnown;
   /// Counts the sender's heartbeats on this link, and the last count that it
   /// had from the receiver: shows how old the message can be.
   std::uint64_t Sequence_ = 0;
--- a/include/thymewall/news.h
+++ b/include/thymewall/news.h
@@ -80,11 +80,19 @@
   static constexpr Micros ClaimWithin = std::chrono::milliseconds(1200);
   /// Age of knowledge at which the next balancers read for themselves: the
   /// reader confirms every 0.5 s, and every 1.1 s while there is news. Each
-  /// balancer of the order waits a step more than the one before it, without a
-  /// bound: else all those beyond it would read in the same moment.
+  /// balancer of the order waits a step more than the one before it; in a large
+  /// fleet without a bound, else all those beyond it would read at once.
   static constexpr Micros ReadAfter = std::chrono::milliseconds(1500);
   static constexpr Micros ReadStep = std::chrono::milliseconds(100);
-  /// The same for a balancer that knows nothing yet: of a fleet that starts at
+  /// Word of the first that lives is passed on when it is so much fresher: less
+  /// than the time of a heartbeat, more than that of a confirmation.
+  static constexpr Micros TellLivingAfter = std::chrono::milliseconds(800);
+  /// Steps of a fleet in which each hears of all members.
+  static constexpr std::size_t FewSteps = 8;
+  /// In a part of a larger fleet that is cut off from the first of the order,
+  /// over which its members spread their reading.
+  static constexpr Micros CutOffSpread = std::chrono::milliseconds(800);
+  /// A step for a balancer that knows nothing yet: of a fleet that starts at
   /// once few read before the first has told the others.
   static constexpr Micros StartStep = std::chrono::milliseconds(10);
   /// A balancer that has read once gives its peers this long to tell it who
--- a/src/news-impl.h
+++ b/src/news-impl.h
@@ -16,6 +16,23 @@
 
 namespace detail {
 
+/// The first balancer in the order of readers that something was heard of
+/// lately, and when that was so.
+struct FirstHeard {
+  std::uint64_t Score_ = 0;
+  MonoTime At_{};
+
+  /// Takes in that it was so of \p Score \p At; what is older than \p Within
+  /// counts no more.
+  void note(std::uint64_t Score, MonoTime At, MonoTime Now, Micros Within) {
+    bool Lapsed = Now - At_ >= Within;
+    if (Now - At >= Within || (Score > Score_ && !Lapsed))
+      return;
+    At_ = Score == Score_ ? std::max(At_, At) : At;
+    Score_ = Score;
+  }
+};
+
 /// One connection to a peer.
 struct NewsLink {
   struct Sent {
@@ -117,6 +134,9 @@
   void takeClaim(MonoTime Now, const detail::NewsLink &L,
                  const PeerHeartbeat &M);
   void noteReader(std::uint64_t Score, MonoTime At, MonoTime Now);
+  void noteLiving(MonoTime Now, const detail::NewsLink &L,
+                  const PeerHeartbeat &M);
+  MonoTime turnToRead(MonoTime ToldAt) const;
   void confirm(MonoTime Now, MonoTime AsOf);
   void askIfBehind(MonoTime Now, LinkId Which, const PeerHeartbeat &M);
   void closeSpare(LinkId Which, const std::string &Peer);
@@ -165,9 +185,10 @@
   std::set<Endpoint> Connecting_;
   std::map<UpstreamWarning, MonoTime> Told_; ///< Until when not told again.
   std::uint64_t Score_;                      ///< Place in the order of readers.
-  std::uint64_t Reader_ = 0;     ///< Place of the first one that reads.
-  MonoTime ReaderAt_{};          ///< Its last answer.
-  std::uint64_t ToldReader_ = 0; ///< `Reader_` when it was last told.
+  detail::FirstHeard Reader_;    ///< Of those that read, by its last answer.
+  MonoTime ToldLivingAt_{};      ///< `Living_` when it was last told.
+  detail::FirstHeard Living_;    ///< Of those that live.
+  std::uint64_t ToldReader_ = 0; ///< Whom of `Reader_` peers were told.
   MonoTime KnownAsOf_{};
   MonoTime ToldAsOf_{}; ///< `KnownAsOf_` when it was last told.
   /// Not before: peers have yet to tell who reads.
--- a/src/news-links.cc
+++ b/src/news-links.cc
@@ -75,9 +75,12 @@
   M.Routing_ = Routing_ ? Routing_->Version_ : 0;
   M.Through_ = List_.through();
   M.KnownAgeMs_ = knownAgeMs(Now);
-  M.Reader_ = Reader_;
-  if (Now - ReaderAt_ < ReadAfter)
-    M.ReaderAgeMs_ = detail::ageMs(ReaderAt_, Now);
+  M.Reader_ = Reader_.Score_;
+  if (Now - Reader_.At_ < ReadAfter)
+    M.ReaderAgeMs_ = detail::ageMs(Reader_.At_, Now);
+  M.Living_ = Living_.Score_;
+  if (Now - Living_.At_ < SilentAfter)
+    M.LivingAgeMs_ = detail::ageMs(Living_.At_, Now);
   M.PresentMs_ = detail::ageMs(PresentSince_, Now);
   M.Listed_ = static_cast<std::uint32_t>(List_.size());
   if (List_.through() == 0)
@@ -104,7 +107,8 @@
 void NewsExchange::Impl::beatAll(MonoTime Now) {
   ToldAsOf_ = KnownAsOf_;
   ToldParts_ = Parts_.count();
-  ToldReader_ = Reader_;
+  ToldReader_ = Reader_.Score_;
+  ToldLivingAt_ = Living_.At_;
   NextBeat_ = Now + HeartbeatEvery;
   // Members once in the time of a heartbeat, however often more recent
   // knowledge is told: they are most of a heartbeat's bytes.
--- a/src/news-message.cc
+++ b/src/news-message.cc
@@ -70,7 +70,9 @@
           M.PresentMs_,
           Members,
           M.Listed_,
-          toJson(M.Parts_)};
+          toJson(M.Parts_),
+          M.Living_,
+          M.LivingAgeMs_};
 }
 
 Json toJson(const NewsWanted &M, MonoTime) {
@@ -149,6 +151,8 @@
     M.Members_.push_back(memberFrom(Item));
   M.Listed_ = J.at(12).get<std::uint32_t>();
   M.Parts_ = partsFrom(J.at(13));
+  M.Living_ = J.at(14).get<std::uint64_t>();
+  M.LivingAgeMs_ = J.at(15).get<std::uint32_t>();
   return M;
 }
 
--- a/src/news.cc
+++ b/src/news.cc
@@ -2,6 +2,7 @@
 #include "news-impl.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace thymewall {
 
@@ -39,6 +40,7 @@
   for (const Member &Told : M.Members_)
     Members_.learn(Now, Told);
   noteArrival(Now, M);
+  noteLiving(Now, L, M);
   takeClaim(Now, L, M);
   askIfBehind(Now, Which, M);
   closeSpare(Which, M.Sender_.Name_);
@@ -69,21 +71,35 @@
   confirm(Now, AsOf);
   // Told at once: word of a better reader that waits at each hop for the next
   // confirmation is out of date after three, and two go on reading.
-  if (Reader_ < ToldReader_)
+  if (Reader_.Score_ < ToldReader_)
     beatAll(Now);
 }
 
 void NewsExchange::Impl::noteReader(std::uint64_t Score, MonoTime At,
                                     MonoTime Now) {
-  bool Lapsed = Now - ReaderAt_ >= ReadAfter;
-  if (Now - At >= ReadAfter || (Score > Reader_ && !Lapsed))
-    return;
-  ReaderAt_ = Score == Reader_ ? std::max(ReaderAt_, At) : At;
-  Reader_ = Score;
-  if (Reader_ < Score_)
+  Reader_.note(Score, At, Now, ReadAfter);
+  if (Reader_.Score_ < Score_)
     Reading_ = false;
 }
 
+/// Word of the first that lives counts if it was provably said a moment ago: a
+/// balancer that is cut off, alone or with others, must not wait for it.
+void NewsExchange::Impl::noteLiving(MonoTime Now, const NewsLink &L,
+                                    const PeerHeartbeat &M) {
+  bool Recent = Now - L.sentAt(M.Echo_) <= ClaimWithin;
+  if (!Recent || M.Leaving_)
+    return;
+  Living_.note(detail::readScore(M.Sender_.Name_), Now, Now, SilentAfter);
+  MonoTime At = Now - std::chrono::milliseconds(M.LivingAgeMs_);
+  if (M.LivingAgeMs_ != PeerHeartbeat::NeverKnown)
+    Living_.note(M.Living_, At, Now, SilentAfter);
+  // Passed on at once: waiting at each hop for the next heartbeat, it would be
+  // too old after three.
+  bool Fresher = Living_.At_ - ToldLivingAt_ > TellLivingAfter;
+  if (Fresher && !Members_.hearsOfAll())
+    beatAll(Now);
+}
+
 void NewsExchange::Impl::confirm(MonoTime Now, MonoTime AsOf) {
   if (AsOf <= KnownAsOf_)
     return;
@@ -225,7 +241,7 @@
     ReadAgainFrom_ = Now + PeersWithin;
   EverRead_ = true;
   noteReader(Score_, Now, Now);
-  Reading_ = Reader_ == Score_;
+  Reading_ = Reader_.Score_ == Score_;
   confirm(Now, AsOf);
   if (List_.through() != Before)
     beatAll(Now);
@@ -252,16 +268,39 @@
 }
 
 MonoTime NewsExchange::Impl::readFrom() const {
-  std::size_t Place = Members_.placeOf(Score_);
   bool ReadsAnyway = !detail::has(detail::Mechanism::OneReader);
-  if (ReadsAnyway || Place == 0 || Reading_)
+  if (ReadsAnyway || Reading_)
     return ReadAgainFrom_;
-  auto Steps = static_cast<Micros::rep>(Place);
-  if (KnownAsOf_ == MonoTime{}) // peers are about to tell
-    return std::max(ReadAgainFrom_, PresentSince_ + StartStep * Steps);
-  MonoTime ToldAt =
-      Reader_ < Score_ ? std::max(KnownAsOf_, ReaderAt_) : KnownAsOf_;
-  return std::max(ReadAgainFrom_, ToldAt + ReadAfter + ReadStep * Steps);
+  if (KnownAsOf_ == MonoTime{}) { // peers are about to tell
+    auto Place = static_cast<Micros::rep>(Members_.placeOf(Score_));
+    return std::max(ReadAgainFrom_, PresentSince_ + StartStep * Place);
+  }
+  bool OtherReads = Reader_.Score_ < Score_;
+  MonoTime ToldAt = OtherReads ? std::max(KnownAsOf_, Reader_.At_) : KnownAsOf_;
+  return std::max(ReadAgainFrom_, turnToRead(ToldAt));
+}
+
+/// When a balancer should read that was told something new at \p ToldAt last.
+/// Its place in the order counts while the first of the order lives, so that
+/// the others have had their turn. In a part of the fleet that is cut off from
+/// the first its own members read: within a rule's bound, whatever their places
+/// in the whole fleet.
+MonoTime NewsExchange::Impl::turnToRead(MonoTime ToldAt) const {
+  std::size_t Place = Members_.placeOf(Score_);
+  if (Place == 0)
+    return KnownAsOf_;
+  MonoTime From = ToldAt + ReadAfter;
+  if (Links_.empty())
+    return From;
+  if (Members_.hearsOfAll())
+    return From +
+           ReadStep * static_cast<Micros::rep>(std::min(Place, FewSteps));
+  MonoTime ByPlace = From + ReadStep * static_cast<Micros::rep>(Place);
+  auto Share = std::ldexp(static_cast<double>(Score_), -64);
+  auto Spread = static_cast<Micros::rep>(
+      Share * static_cast<double>(CutOffSpread.count()));
+  MonoTime CutOff = Living_.At_ + SilentAfter + Micros(Spread);
+  return std::min(ByPlace, std::max(From, CutOff));
 }
 
 NewsCounters NewsExchange::Impl::counters() const {
--- a/test/fleet-start-test.cc
+++ b/test/fleet-start-test.cc
@@ -163,6 +163,30 @@
   CHECK(S.fleet().allKnow(R));
 }
 
+TEST_CASE(
+    "a few that are cut off from the others read for themselves in time") {
+  for (std::size_t Balancers : {std::size_t{60}, std::size_t{400}}) {
+    CAPTURE(Balancers);
+    Starting S(Balancers, 1);
+    S.start();
+    S.fleet().run(10s);
+    // Three that know each other only, none of them among the first.
+    std::vector<std::size_t> CutOff;
+    for (std::size_t Which = 10; CutOff.size() < 3; Which += 7)
+      if (Which != S.fleet().lastReader())
+        CutOff.push_back(Which);
+    for (std::size_t Which : CutOff)
+      for (std::size_t Other = 0; Other < Balancers; ++Other)
+        if (std::count(CutOff.begin(), CutOff.end(), Other) == 0)
+          S.fleet().setHeldUp(Which, Other, true);
+    S.fleet().run(11s);
+    Revision R = S.fleet().publish();
+    S.fleet().run(16s); // the bound of a routing table in fleets of this size
+    for (std::size_t Which : CutOff)
+      CHECK(S.fleet().news(Which).through() >= R);
+  }
+}
+
 TEST_CASE("while nobody reads, balancers try in turn, not all at once") {
   // Nobody is served, and answers come late: the order of readers is long.
   Starting S(200, 1);
