Among those cut off from the first, the first one left reads; its test speaks for one balancer

A test of one exchange (reading-turn-test) found that the first one left waited for those behind it. Change: nobody before it living, a balancer reads at once, spread over 0.8 s. Tests: reading-turn-test, two of its cases fail with places alone; fleet-start-test now cuts off three and the last forty of 400.

--- a/src/news-impl.h
+++ b/src/news-impl.h
@@ -134,8 +134,10 @@
   void takeClaim(MonoTime Now, const detail::NewsLink &L,
                  const PeerHeartbeat &M);
   void noteReader(std::uint64_t Score, MonoTime At, MonoTime Now);
-  void noteLiving(MonoTime Now, const detail::NewsLink &L,
+  void noteLiving(MonoTime Now, std::uint64_t Score, MonoTime At);
+  void takeLiving(MonoTime Now, const detail::NewsLink &L,
                   const PeerHeartbeat &M);
+  Micros cutOffSpread() const;
   MonoTime turnToRead(MonoTime ToldAt) const;
   void confirm(MonoTime Now, MonoTime AsOf);
   void askIfBehind(MonoTime Now, LinkId Which, const PeerHeartbeat &M);
@@ -188,6 +190,7 @@
   detail::FirstHeard Reader_;    ///< Of those that read, by its last answer.
   MonoTime ToldLivingAt_{};      ///< `Living_` when it was last told.
   detail::FirstHeard Living_;    ///< Of those that live.
+  MonoTime FirstSince_{};        ///< Since when nobody before this one lives.
   std::uint64_t ToldReader_ = 0; ///< Whom of `Reader_` peers were told.
   MonoTime KnownAsOf_{};
   MonoTime ToldAsOf_{}; ///< `KnownAsOf_` when it was last told.
--- a/src/news-links.cc
+++ b/src/news-links.cc
@@ -132,6 +132,7 @@
     Hooks_.Close_(Which);
   }
   Members_.forgetSilent(Now);
+  noteLiving(Now, Score_, Now);
   for (auto Item = Told_.begin(); Item != Told_.end();)
     Item = Now >= Item->second ? Told_.erase(Item) : std::next(Item);
   bool MoreParts = List_.through() == 0 && Parts_.count() > ToldParts_;
--- a/src/news.cc
+++ b/src/news.cc
@@ -40,7 +40,7 @@
   for (const Member &Told : M.Members_)
     Members_.learn(Now, Told);
   noteArrival(Now, M);
-  noteLiving(Now, L, M);
+  takeLiving(Now, L, M);
   takeClaim(Now, L, M);
   askIfBehind(Now, Which, M);
   closeSpare(Which, M.Sender_.Name_);
@@ -82,17 +82,24 @@
     Reading_ = false;
 }
 
+void NewsExchange::Impl::noteLiving(MonoTime Now, std::uint64_t Score,
+                                    MonoTime At) {
+  bool OthersBefore = Living_.Score_ < Score_;
+  Living_.note(Score, At, Now, SilentAfter);
+  if (OthersBefore && Living_.Score_ >= Score_)
+    FirstSince_ = Now;
+}
+
 /// Word of the first that lives counts if it was provably said a moment ago: a
 /// balancer that is cut off, alone or with others, must not wait for it.
-void NewsExchange::Impl::noteLiving(MonoTime Now, const NewsLink &L,
+void NewsExchange::Impl::takeLiving(MonoTime Now, const NewsLink &L,
                                     const PeerHeartbeat &M) {
   bool Recent = Now - L.sentAt(M.Echo_) <= ClaimWithin;
   if (!Recent || M.Leaving_)
     return;
-  Living_.note(detail::readScore(M.Sender_.Name_), Now, Now, SilentAfter);
-  MonoTime At = Now - std::chrono::milliseconds(M.LivingAgeMs_);
+  noteLiving(Now, detail::readScore(M.Sender_.Name_), Now);
   if (M.LivingAgeMs_ != PeerHeartbeat::NeverKnown)
-    Living_.note(M.Living_, At, Now, SilentAfter);
+    noteLiving(Now, M.Living_, Now - std::chrono::milliseconds(M.LivingAgeMs_));
   // Passed on at once: waiting at each hop for the next heartbeat, it would be
   // too old after three.
   bool Fresher = Living_.At_ - ToldLivingAt_ > TellLivingAfter;
@@ -281,10 +288,9 @@
 }
 
 /// When a balancer should read that was told something new at \p ToldAt last.
-/// Its place in the order counts while the first of the order lives, so that
-/// the others have had their turn. In a part of the fleet that is cut off from
-/// the first its own members read: within a rule's bound, whatever their places
-/// in the whole fleet.
+/// Its place in the order counts while one before it lives, so that those had
+/// their turn. In a part of the fleet that is cut off from them its own members
+/// read: within a rule's bound, whatever their places in the whole fleet.
 MonoTime NewsExchange::Impl::turnToRead(MonoTime ToldAt) const {
   std::size_t Place = Members_.placeOf(Score_);
   if (Place == 0)
@@ -292,15 +298,18 @@
   MonoTime From = ToldAt + ReadAfter;
   if (Links_.empty())
     return From;
-  if (Members_.hearsOfAll())
-    return From +
-           ReadStep * static_cast<Micros::rep>(std::min(Place, FewSteps));
-  MonoTime ByPlace = From + ReadStep * static_cast<Micros::rep>(Place);
+  bool FirstHere = Living_.Score_ >= Score_ && !Members_.hearsOfAll();
+  if (FirstHere)
+    return std::max(From, FirstSince_ + cutOffSpread());
+  std::size_t Steps = Members_.hearsOfAll() ? std::min(Place, FewSteps) : Place;
+  return From + ReadStep * static_cast<Micros::rep>(Steps);
+}
+
+/// Keeps those apart that hear in the same moment of none before them.
+Micros NewsExchange::Impl::cutOffSpread() const {
   auto Share = std::ldexp(static_cast<double>(Score_), -64);
-  auto Spread = static_cast<Micros::rep>(
-      Share * static_cast<double>(CutOffSpread.count()));
-  MonoTime CutOff = Living_.At_ + SilentAfter + Micros(Spread);
-  return std::min(ByPlace, std::max(From, CutOff));
+  return Micros(static_cast<Micros::rep>(
+      Share * static_cast<double>(CutOffSpread.count())));
 }
 
 NewsCounters NewsExchange::Impl::counters() const {
--- a/test/fleet-start-test.cc
+++ b/test/fleet-start-test.cc
@@ -1,9 +1,12 @@
 // What a fleet that starts at once asks of the configuration service and of its
 // members: nothing of it grows with balancers times upstreams.
 #include "news-fleet.h"
+#include "peer-choice.h"
 #include "thymewall/list-parts.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <numeric>
 
 using namespace thymewall;
 using namespace thymewall::test;
@@ -51,6 +54,19 @@
   std::size_t Before_ = 0;
 };
 
+/// The last members in the order of readers.
+std::vector<std::size_t> lastReaders(std::size_t Balancers, std::size_t Count) {
+  auto Score = [](std::size_t Which) {
+    return detail::readScore("lb-" + std::to_string(Which));
+  };
+  std::vector<std::size_t> Order(Balancers);
+  std::iota(Order.begin(), Order.end(), 0U);
+  std::sort(Order.begin(), Order.end(),
+            [&](std::size_t A, std::size_t B) { return Score(A) > Score(B); });
+  Order.resize(Count);
+  return Order;
+}
+
 } // namespace
 
 TEST_CASE("what a start reads does not grow with the list, and nobody is told "
@@ -163,25 +179,23 @@
   CHECK(S.fleet().allKnow(R));
 }
 
-TEST_CASE(
-    "a few that are cut off from the others read for themselves in time") {
-  for (std::size_t Balancers : {std::size_t{60}, std::size_t{400}}) {
-    CAPTURE(Balancers);
+TEST_CASE("a part that is cut off from the others reads for itself in time") {
+  // Three find no link to each other soon; of the last forty in the order of
+  // readers the first has place 360.
+  for (std::size_t Part : {std::size_t{3}, std::size_t{40}}) {
+    CAPTURE(Part);
+    constexpr std::size_t Balancers = 400;
     Starting S(Balancers, 1);
     S.start();
     S.fleet().run(10s);
-    // Three that know each other only, none of them among the first.
-    std::vector<std::size_t> CutOff;
-    for (std::size_t Which = 10; CutOff.size() < 3; Which += 7)
-      if (Which != S.fleet().lastReader())
-        CutOff.push_back(Which);
+    std::vector<std::size_t> CutOff = lastReaders(Balancers, Part);
     for (std::size_t Which : CutOff)
       for (std::size_t Other = 0; Other < Balancers; ++Other)
         if (std::count(CutOff.begin(), CutOff.end(), Other) == 0)
           S.fleet().setHeldUp(Which, Other, true);
     S.fleet().run(11s);
     Revision R = S.fleet().publish();
-    S.fleet().run(16s); // the bound of a routing table in fleets of this size
+    S.fleet().run(16s); // 5 s, less than what a routing table may take here
     for (std::size_t Which : CutOff)
       CHECK(S.fleet().news(Which).through() >= R);
   }
--- /dev/null
+++ b/test/reading-turn-test.cc
@@ -0,0 +1,134 @@
+// When a balancer of a large fleet takes its turn to read the configuration
+// service: after all those before it, or in a part that is cut off from them.
+#include "peer-choice.h"
+#include "thymewall/news.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace thymewall;
+using namespace std::chrono_literals;
+
+namespace {
+
+MonoTime at(Micros Time) { return MonoTime(100s + Time); }
+
+Member member(std::size_t Which) {
+  return {"lb-" + std::to_string(Which), "hall",
+          Endpoint::v4(static_cast<std::uint32_t>(Which + 1), 8166), 0};
+}
+
+std::uint64_t score(std::size_t Which) {
+  return detail::readScore(member(Which).Name_);
+}
+
+/// The last but one in the order of 200 balancers, linked to the last one, by
+/// which a test speaks.
+class LateInOrder {
+public:
+  LateInOrder() : Order_(order()) {
+    News_ = std::make_unique<NewsExchange>(
+        NewsOptions{member(Order_[Fleet - 2]), {}}, hooks());
+    News_->tick(at(0s));
+    News_->opened(at(0s), LinkId{1}, false);
+    IntentAnswer List;
+    List.Outcome_ = IntentAnswer::Outcome::Done;
+    List.Batch_.Whole_ = true;
+    List.Batch_.Through_ = 5;
+    News_->readDone(at(0s), List, at(0s));
+  }
+
+  /// A heartbeat of the peer, which knows as much as is known up to \\p Known
+  /// and has heard of the first balancer as of \\p Living.
+  void beat(Micros Now, Micros Known, Micros Living) {
+    PeerHeartbeat M;
+    M.Sender_ = member(Order_.back());
+    M.Through_ = 5;
+    M.KnownAgeMs_ = millis(Now - Known);
+    M.Reader_ = score(Order_.front());
+    M.ReaderAgeMs_ = millis(Now - Known);
+    M.Living_ = score(Order_.front());
+    M.LivingAgeMs_ = millis(Now - Living);
+    M.Sequence_ = ++Sequence_;
+    M.Echo_ = Heard_;
+    for (std::size_t I = 0; I < Fleet - 2; ++I)
+      M.Members_.push_back(member(Order_[I]));
+    News_->received(at(Now), LinkId{1}, M);
+  }
+
+  std::unique_ptr<NewsExchange> News_;
+
+private:
+  static constexpr std::size_t Fleet = 200;
+
+  static std::uint32_t millis(Micros Age) {
+    return static_cast<std::uint32_t>(Age.count() / 1000);
+  }
+  static std::vector<std::size_t> order() {
+    std::vector<std::size_t> Result(Fleet);
+    for (std::size_t I = 0; I < Fleet; ++I)
+      Result[I] = I;
+    std::sort(Result.begin(), Result.end(),
+              [](auto A, auto B) { return score(A) < score(B); });
+    return Result;
+  }
+  NewsHooks hooks() {
+    NewsHooks Hooks;
+    Hooks.Send_ = [this](LinkId, const NewsMessage &M) {
+      if (const auto *Beat = std::get_if<PeerHeartbeat>(&M))
+        Heard_ = Beat->Sequence_;
+    };
+    Hooks.Connect_ = [](const Endpoint &) {};
+    Hooks.Close_ = [](LinkId) {};
+    Hooks.OnRouting_ = [](const RoutingTablePtr &) {};
+    Hooks.OnUpstreams_ = [](const auto &, bool) {};
+    Hooks.OnConfirmed_ = [](MonoTime) {};
+    Hooks.OnWarning_ = [](const UpstreamWarning &) {};
+    return Hooks;
+  }
+
+  std::vector<std::size_t> Order_;
+  std::uint64_t Heard_ = 0;
+  std::uint64_t Sequence_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("while the first of the order lives, those after it take turns") {
+  LateInOrder L;
+  for (Micros Now = 250ms; Now <= 8s; Now += 250ms) {
+    L.News_->tick(at(Now));
+    // Nobody is served from 1 s on, and the first says once a second it lives.
+    L.beat(Now, std::min<Micros>(Now, 1s), Now - Now % 1s);
+    CHECK(L.News_->readFrom() > at(Now));
+  }
+}
+
+TEST_CASE("in a part that is cut off from the first, its members read soon") {
+  LateInOrder L;
+  for (Micros Now = 250ms; Now <= 6s; Now += 250ms) {
+    L.News_->tick(at(Now));
+    L.beat(Now, std::min<Micros>(Now, 1s), std::min<Micros>(Now, 1s));
+  }
+  CHECK(L.News_->readFrom() <=
+        at(1s) + 3300ms); // 2.5 s of silence, 0.8 s spread
+  CHECK(L.News_->readFrom() >= at(1s) + 1500ms);
+}
+
+TEST_CASE("word of the first that may be old does not hold up a part") {
+  LateInOrder L;
+  for (Micros Now = 250ms; Now <= 1s; Now += 250ms) {
+    L.News_->tick(at(Now));
+    L.beat(Now, Now, Now);
+  }
+  // Held up since, and now arriving: they echo nothing recent.
+  PeerHeartbeat Late;
+  Late.Sender_ = member(0);
+  Late.LivingAgeMs_ = 0;
+  Late.Echo_ = 1;
+  for (Micros Now = 1250ms; Now <= 6s; Now += 250ms) {
+    L.News_->tick(at(Now));
+    L.News_->received(at(Now), LinkId{1}, Late);
+  }
+  CHECK(L.News_->readFrom() <= at(1s) + 3300ms);
+}
