A part of the list that is here is not taken again

Cause, found on the last reading: between a start's digests and the answer to them a late copy of a part (of a peer that was asked before, or the start's own stale list) could add an upstream that had ended since; the answer finds that part the same as by the digest, and the entry would stay until the balancer's end. Ruled out: digests in the answer (2 KB more each way); forgetting questions that are overdue (the answer comes all the same). Test: parts-exchange-test, fails before in both its cases.

--- a/src/news-impl.h
+++ b/src/news-impl.h
@@ -153,6 +153,7 @@
   }
   void askForParts(MonoTime Now, LinkId Which);
   void takeParts(MonoTime Now, LinkId Which, const News &M);
+  bool bringsParts(const ListParts &Parts) const;
   void addParts(MonoTime Now, const ListParts &Parts);
   std::optional<PartDigests> digestsToSend() const;
   PeerHeartbeat heartbeat(MonoTime Now, std::size_t Members);
--- a/src/news-parts.cc
+++ b/src/news-parts.cc
@@ -49,14 +49,21 @@
 void NewsExchange::Impl::takeParts(MonoTime Now, LinkId Which, const News &M) {
   NewsLink &L = Links_[Which];
   L.AskedParts_.reset();
-  if (List_.through() != 0)
-    return; // known by now, and to a revision
+  if (!bringsParts(M.Parts_))
+    return;
   apply(Now, M.Routing_, M.Upstreams_, M.Evacuations_);
   addParts(Now, M.Parts_);
   if (startsByParts(L))
     askForParts(Now, Which);
 }
 
+/// Whether any of these parts is still missing. Another copy of one that is
+/// here may name upstreams that have ended since, and its digest may be on its
+/// way to a peer that will find nothing absent.
+bool NewsExchange::Impl::bringsParts(const ListParts &Parts) const {
+  return List_.through() == 0 && (Parts & ~Parts_).any();
+}
+
 /// Peers are told of parts when there are twice as many as they know of, so
 /// that a start sends few heartbeats, and of the last one at once.
 void NewsExchange::Impl::addParts(MonoTime Now, const ListParts &Parts) {
--- a/src/news.cc
+++ b/src/news.cc
@@ -233,8 +233,11 @@
 }
 
 void NewsExchange::Impl::readStale(MonoTime Now, const IntentAnswer &Answer) {
-  apply(Now, Answer.Routing_, Answer.Batch_, Answer.Evacuations_);
-  addParts(Now, Answer.Parts_.value_or(allParts()));
+  ListParts Parts = Answer.Parts_.value_or(allParts());
+  bool Missing = bringsParts(Parts);
+  apply(Now, Answer.Routing_, Missing ? Answer.Batch_ : UpstreamBatch{},
+        Answer.Evacuations_);
+  addParts(Now, Parts);
 }
 
 bool NewsExchange::Impl::readDone(MonoTime Now, const IntentAnswer &Answer,
--- /dev/null
+++ b/test/parts-exchange-test.cc
@@ -0,0 +1,119 @@
+// What a start takes of parts of the list that come late.
+#include "thymewall/news.h"
+
+#include <doctest/doctest.h>
+#include <ostream>
+#include <set>
+
+using namespace thymewall;
+using namespace std::chrono_literals;
+
+namespace {
+
+MonoTime at(std::chrono::milliseconds Time) { return MonoTime(100s + Time); }
+
+Member member(std::uint64_t Which) {
+  return {"lb-" + std::to_string(Which), "hall",
+          Endpoint::v4(static_cast<std::uint32_t>(Which + 1), 8166), 0};
+}
+
+UpstreamChange listed(std::uint64_t Id, std::uint8_t Part) {
+  UpstreamEntry E;
+  E.Incarnation_ = Incarnation{Id};
+  E.At_ = Endpoint::v4(static_cast<std::uint32_t>(Id), 9000);
+  E.Part_ = Part;
+  return {E.Incarnation_, Id, E};
+}
+
+/// A start that has read all parts but one, with links to three peers.
+class AlmostAll {
+public:
+  static constexpr std::uint8_t Missing = 7;
+
+  AlmostAll() : News_({member(0), {}}, hooks()) {
+    for (std::uint64_t Peer = 1; Peer <= 3; ++Peer)
+      News_.opened(at(0ms), LinkId{Peer}, false);
+    IntentAnswer Stale;
+    Stale.Outcome_ = IntentAnswer::Outcome::Stale;
+    Stale.Batch_.Changes_ = {listed(5, 1)};
+    Stale.Parts_ = allParts().reset(Missing);
+    News_.readStale(at(1ms), Stale);
+  }
+
+  /// Of a peer that has this part, or knows everything through a revision.
+  void beat(std::uint64_t Peer, ListParts Parts, Revision Through) {
+    PeerHeartbeat M;
+    M.Sender_ = member(Peer);
+    M.Through_ = Through;
+    M.Parts_ = Parts;
+    M.Listed_ = 2;
+    News_.received(at(10ms), LinkId{Peer}, M);
+  }
+
+  /// An answer with the missing part, which names one upstream.
+  void part(std::uint64_t Peer, std::uint64_t Id) {
+    News M;
+    M.Parts_.set(Missing);
+    M.Upstreams_.Changes_ = {listed(Id, Missing)};
+    News_.received(at(20ms), LinkId{Peer}, M);
+  }
+
+  /// An answer that finds no difference, through a revision.
+  void same(std::uint64_t Peer, Revision Through) {
+    News M;
+    M.Upstreams_.Whole_ = true;
+    M.Upstreams_.Through_ = Through;
+    M.Upstreams_.Same_ = allParts();
+    News_.received(at(30ms), LinkId{Peer}, M);
+  }
+
+  NewsExchange News_;
+  std::set<std::uint64_t> Listed_;
+  std::vector<NewsWanted> Asked_;
+
+private:
+  NewsHooks hooks() {
+    NewsHooks Hooks;
+    Hooks.Send_ = [this](LinkId, const NewsMessage &M) {
+      if (const auto *Wanted = std::get_if<NewsWanted>(&M))
+        Asked_.push_back(*Wanted);
+    };
+    Hooks.Connect_ = [](const Endpoint &) {};
+    Hooks.Close_ = [](LinkId) {};
+    Hooks.OnRouting_ = [](const RoutingTablePtr &) {};
+    Hooks.OnUpstreams_ = [this](const std::vector<UpstreamChange> &Changes,
+                                bool) {
+      for (const UpstreamChange &Change : Changes)
+        if (Change.Entry_)
+          Listed_.insert(raw(Change.Incarnation_));
+    };
+    Hooks.OnConfirmed_ = [](MonoTime) {};
+    Hooks.OnWarning_ = [](const UpstreamWarning &) {};
+    return Hooks;
+  }
+};
+
+} // namespace
+
+TEST_CASE("a part that is here is not taken again, whatever it names") {
+  AlmostAll S;
+  S.beat(1, ListParts{}.set(AlmostAll::Missing), 0);
+  REQUIRE(S.Asked_.size() == 1);
+  CHECK(S.Asked_[0].Parts_ == ListParts{}.set(AlmostAll::Missing));
+  S.part(1, 71);
+  S.beat(2, {}, 50);
+  REQUIRE(S.Asked_.size() == 2);
+  CHECK(S.Asked_[1].Digests_);
+  SUBCASE("from a peer that answers late, with one that has ended") {
+    S.part(3, 72);
+  }
+  SUBCASE("from a stale list that comes late") {
+    IntentAnswer Late;
+    Late.Outcome_ = IntentAnswer::Outcome::Stale;
+    Late.Batch_.Changes_ = {listed(72, AlmostAll::Missing)};
+    S.News_.readStale(at(25ms), Late);
+  }
+  S.same(2, 80);
+  CHECK(S.News_.through() == 80);
+  CHECK(S.Listed_ == std::set<std::uint64_t>{5, 71});
+}
