--- a/soak/soak-world.cc
+++ b/soak/soak-world.cc
@@ -139,7 +139,9 @@
   Json Entry = {{"backend", U.Service_},
                 {"address", formatEndpoint(place(U.Place_))},
                 {"zone", "hall-a"},
+                {"version", "v1"},
                 {"capacity", 2},
+                {"call-seq", 1},
                 {"state", U.LeavingSince_ ? "draining" : "ready"},
                 {"warmup-left-ms", 0}};
   Service_.put("servers/i-" + hex(U.Id_), Entry.dump());
