--- a/include/thymewall/gossip.h
+++ b/include/thymewall/gossip.h
@@ -23,6 +23,19 @@
 
 enum class LinkId : std::uint64_t {};
 
+/// How far the state of a balancer is behind the newest that a peer has
+/// reported, and where it was last confirmed.
+struct StateLag {
+  std::string NewestPeer_; ///< Peer that reported `NewestRevision_`.
+  Revision NewestRevision_ = 0;
+  Micros BehindFor_{0};
+  /// Peer whose message last confirmed the state; empty if this balancer read
+  /// it from the configuration service.
+  std::string ConfirmedBy_;
+  /// Upper bound on the transit time of that message.
+  Micros MaxTransit_{0};
+};
+
 /// Callbacks for outgoing messages, connections and changes of state.
 struct GossipHooks {
   std::function<void(LinkId, const GossipMessage &)> Send_;
@@ -42,6 +55,9 @@
   std::function<void(const UpstreamWarning &)> OnWarning_;
   /// A peer started or resumed \p At. Optional.
   std::function<void(MonoTime At)> OnPeerJoined_;
+  /// This balancer's state has been older than a peer's for
+  /// `GossipNode::LagReportDelay`, or has caught up after that. Optional.
+  std::function<void(const StateLag &, bool IsBehind)> OnLag_;
 };
 
 struct GossipOptions {
@@ -115,6 +131,10 @@
   /// Deadline for an answer to a state request; another peer is asked after it.
   static constexpr Micros RequestTimeout = std::chrono::milliseconds(300);
 
+  /// A balancer whose state is older than a peer's for longer reports it; a
+  /// response usually arrives within some milliseconds.
+  static constexpr Micros LagReportDelay = std::chrono::milliseconds(1000);
+
   /// A peer with a shorter uptime has just joined.
   static constexpr Micros RecentStartAge = std::chrono::milliseconds(3000);
   /// A process without a tick for this long was suspended.
--- a/src/gossip-impl.h
+++ b/src/gossip-impl.h
@@ -2,7 +2,7 @@
 /// Implementation of `GossipNode`: state and choice of the reader (gossip.cc),
 /// links and heartbeats (gossip-links.cc), starts from parts of the list
 /// (gossip-parts.cc), views of the fleet (gossip-members.cc), impairment
-/// (gossip-health.cc).
+/// (gossip-health.cc), reports of stale state (gossip-lag.cc).
 #ifndef THYMEWALL_SRC_GOSSIP_IMPL_H
 #define THYMEWALL_SRC_GOSSIP_IMPL_H
 
@@ -158,6 +158,8 @@
   MonoTime takeoverTime(MonoTime ConfirmedAt) const;
   void confirm(MonoTime Now, MonoTime AsOf);
   void requestIfBehind(MonoTime Now, LinkId Link, const PeerHeartbeat &M);
+  void noteNewerState(MonoTime Now, const PeerHeartbeat &M);
+  void reportLag(MonoTime Now);
   void closeDuplicate(LinkId Link, const std::string &Peer);
   bool inboundLinksFull() const;
   /// Parts of the list that this balancer has, of whatever revision.
@@ -225,6 +227,10 @@
   std::uint64_t AnnouncedReader_ = 0; ///< Last sent `FirstReader_`.
   MonoTime ConfirmedAsOf_{};
   MonoTime AnnouncedAsOf_{}; ///< Last sent `ConfirmedAsOf_`.
+  StateLag Lag_;
+  /// When a peer first reported newer state than this balancer's.
+  MonoTime BehindSince_ = MonoTime::max();
+  bool LagReported_ = false;
   /// End of the pause after the first read.
   MonoTime ReadPauseUntil_{};
   MonoTime LastTick_{};
--- a/src/gossip-links.cc
+++ b/src/gossip-links.cc
@@ -168,6 +168,7 @@
   if (Now >= NextHeartbeatAt_ || MoreParts || hasImpairmentNews())
     sendHeartbeats(Now);
   maintainLinks(Now);
+  reportLag(Now);
 }
 
 bool GossipNode::Impl::linkedTo(const std::string &Name) const {
--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -46,6 +46,7 @@
   notifyIfJoined(Now, M);
   acceptFirstAlive(Now, L, M);
   acceptConfirmation(Now, L, M);
+  noteNewerState(Now, M);
   requestIfBehind(Now, Link, M);
   closeDuplicate(Link, M.Sender_.Name_);
   if (L.Redirected_)
@@ -73,6 +74,10 @@
   if (M.ReaderAgeMs_ != PeerHeartbeat::UnknownAgeMs)
     noteReader(M.ReaderScore_, Now - std::chrono::milliseconds(M.ReaderAgeMs_),
                Now);
+  if (AsOf > ConfirmedAsOf_) {
+    Lag_.ConfirmedBy_ = M.Sender_.Name_;
+    Lag_.MaxTransit_ = Now - L.sentAt(M.EchoedSequence_);
+  }
   confirm(Now, AsOf);
   // Sent at once: a lower reader score that waited for the next confirmation at
   // each hop would expire after three hops, and two balancers would go on
@@ -265,6 +270,8 @@
   HasRead_ = true;
   noteReader(Score_, Now, Now);
   IsReader_ = FirstReader_.Score_ == Score_;
+  Lag_.ConfirmedBy_.clear();
+  Lag_.MaxTransit_ = Micros(0);
   confirm(Now, AsOf);
   if (List_.through() != Before)
     sendHeartbeats(Now);
--- a/src/packet-log.cc
+++ b/src/packet-log.cc
@@ -193,6 +193,18 @@
                                     {"revision", Through}});
 }
 
+void logStateLag(const StateLag &Lag, bool IsBehind, Revision Through,
+                 Micros StateAge) {
+  LogFields Fields = {{"revision", Through},
+                      {"newest_revision", Lag.NewestRevision_},
+                      {"newest_at", Lag.NewestPeer_},
+                      {"behind_ms", millis(Lag.BehindFor_)},
+                      {"knowledge_age_ms", millis(StateAge)},
+                      {"confirmed_by", Lag.ConfirmedBy_},
+                      {"max_transit_ms", millis(Lag.MaxTransit_)}};
+  logRateLimited(IsBehind ? "state_behind" : "state_caught_up", Fields);
+}
+
 void logRouting(const RoutingTable &Table) {
   logRateLimited("routing_in_force",
                  {{"version", Table.Version_},
--- a/src/packet-log.h
+++ b/src/packet-log.h
@@ -4,6 +4,7 @@
 #define THYMEWALL_SRC_PACKET_LOG_H
 
 #include "thymewall/config-reader.h"
+#include "thymewall/gossip.h"
 #include "thymewall/local-health.h"
 #include "thymewall/log.h"
 #include "thymewall/packet-balancer.h"
@@ -24,6 +25,9 @@
 /// Logs the numbers of listed and ended upstreams instead of a line for each.
 void logUpstreamSummary(const std::vector<UpstreamChange> &Changes,
                         Revision Through);
+/// Logs that the state is older than a peer's, or no longer is.
+void logStateLag(const StateLag &Lag, bool IsBehind, Revision Through,
+                 Micros StateAge);
 void logRouting(const RoutingTable &Table);
 
 void logHostImpaired(const HostHealth &Health);
--- a/src/packet-process-gossip.cc
+++ b/src/packet-process-gossip.cc
@@ -128,6 +128,10 @@
     Core_.onPeerWarning(monoNow(), M);
   };
   Hooks.OnPeerJoined_ = [this](MonoTime At) { Core_.onBalancerJoined(At); };
+  Hooks.OnLag_ = [this](const StateLag &Lag, bool IsBehind) {
+    logStateLag(Lag, IsBehind, Gossip_.through(),
+                monoNow() - Gossip_.confirmedAsOf());
+  };
   Hooks.OnConfirmed_ = [this](MonoTime AsOf) {
     logFirstConfirmation();
     Core_.confirmUpTo(AsOf);
