Failing test: starved balancers confirm old state to each other as recent

Of 67 balancers in virtual time, 59 read their sockets once per 0.2 to 0.9 s. Their heartbeats confirm the state as complete up to 1.5, 3.1, 4.4 and 7.2 s after changes that it lacks (worstConfirmationError), and healthy members learn of changes up to 6.4 s late.

--- a/test/gossip-fleet.cc
+++ b/test/gossip-fleet.cc
@@ -95,6 +95,20 @@
 }
 
 void GossipFleet::runOnNode(std::size_t Which, std::function<void()> Do) {
+  Micros Interval = Nodes_[Which].ReadInterval_;
+  if (Interval == Micros(0))
+    return runUnlessSuspended(Which, std::move(Do));
+  // Processes don't read at the same moments.
+  Micros Phase = Interval * static_cast<Micros::rep>(Which * 7919 % 100) / 100;
+  Events_.after(Interval - (now() + Phase) % Interval,
+                [=, StartCount = Nodes_[Which].StartCount_] {
+                  if (Nodes_[Which].StartCount_ == StartCount)
+                    runUnlessSuspended(Which, Do);
+                });
+}
+
+void GossipFleet::runUnlessSuspended(std::size_t Which,
+                                     std::function<void()> Do) {
   Node &N = Nodes_[Which];
   if (!N.Alive_)
     return;
--- a/test/gossip-fleet.h
+++ b/test/gossip-fleet.h
@@ -50,6 +50,11 @@
 
   // Faults; each lasts until it is reset.
   void setSuspended(std::size_t Which, bool Suspended);
+  /// A process whose host has no processor time left: it handles what has
+  /// arrived, and its ticks, once per \p ReadInterval; 0 ends the fault.
+  void setStarved(std::size_t Which, Micros ReadInterval) {
+    Nodes_[Which].ReadInterval_ = ReadInterval;
+  }
   void setRefused(std::size_t Which, bool Refused);
   /// Calls of the configuration service get no response.
   void setUnresponsive(std::size_t Which, bool Unresponsive);
@@ -124,6 +129,7 @@
     std::size_t UpstreamsReceived_ = 0;
     std::size_t MaxLinks_ = 0;
     Version Routing_ = 0;
+    Micros ReadInterval_{0};       ///< 0 unless the process is starved.
     std::uint64_t StartCount_ = 0; ///< Incremented at each start.
     bool Alive_ = true;
     bool Suspended_ = false;
@@ -133,9 +139,10 @@
   };
   Member member(std::size_t Which) const;
   void start(std::size_t Which);
-  /// Runs \p Do on a member: deferred while it is suspended, dropped if it is
-  /// dead.
+  /// Runs \p Do on a member: deferred while it is suspended or starved, dropped
+  /// if it is dead.
   void runOnNode(std::size_t Which, std::function<void()> Do);
+  void runUnlessSuspended(std::size_t Which, std::function<void()> Do);
   GossipHooks hooks(std::size_t Which);
   void connect(std::size_t From, const Endpoint &To);
   void deliver(std::size_t From, LinkId Link, const std::string &Bytes);
