Warnings expire by their age, so that starved balancers don't forward them for ever

The same class of fault as the confirmations, found by looking for beliefs that arrive the same way: a warning had no age, and a balancer forgets after 1 s that it has forwarded one. Where messages wait in sockets for longer, a warning comes back after that and is taken as new evidence.

Measured: a test of 40 balancers, 32 of which read their sockets once per 0.9 s on average: one warning was received up to 20 times by a member within 20 s, about once a second to the end; now once at most. It failed before the change.

Change: warnings carry the time since their evidence was observed, counted by PeerClock from the time before which the message can't have been sent, and are dropped after 1 s (thymewall_warnings_expired). Older releases send no age.

--- a/include/thymewall/gossip.h
+++ b/include/thymewall/gossip.h
@@ -71,7 +71,8 @@
   std::uint64_t UpdatesReceived_ = 0;
   std::uint64_t RevisionGaps_ = 0;
   std::uint64_t StaleConfirmations_ = 0;
-  std::uint64_t WarningsSent_ = 0; ///< Counted once per link.
+  std::uint64_t WarningsSent_ = 0;    ///< Counted once per link.
+  std::uint64_t ExpiredWarnings_ = 0; ///< Received too late.
   std::size_t Links_ = 0;
   std::size_t Members_ = 0;
 };
@@ -151,7 +152,7 @@
   /// peer at a time. Bounds the response to about 40 KB.
   static constexpr std::size_t UpstreamsPerRequest = 768;
 
-  /// A warning is forwarded at most once in this interval.
+  /// A warning is forwarded at most once in this interval, and not after it.
   static constexpr Micros WarningInterval = std::chrono::milliseconds(1000);
   /// Maximum number of warnings of each kind that are sent in an interval.
   /// Bounds the traffic when a whole data hall is lost to about 45 KB: 24 bytes
--- a/include/thymewall/upstream-warning.h
+++ b/include/thymewall/upstream-warning.h
@@ -21,6 +21,12 @@
   /// Published start time, in Unix milliseconds, of the start that the warning
   /// is about. It does not apply to a later start under the same incarnation.
   std::uint64_t StartTimeMs_ = 0;
+  /// Time by the sender's clock, whose origin is arbitrary, at which this
+  /// message was sent, and the time since the evidence was observed, both in
+  /// milliseconds. Not part of a warning's identity; older releases send
+  /// neither.
+  std::uint64_t SentAtMs_ = 0;
+  std::uint32_t AgeMs_ = 0;
 };
 inline bool operator==(const UpstreamWarning &A, const UpstreamWarning &B) {
   return std::tie(A.Upstream_, A.Kind_, A.Flow_, A.StartTimeMs_) ==
--- a/src/gossip-impl.h
+++ b/src/gossip-impl.h
@@ -1,6 +1,7 @@
 /// \file
 /// Implementation of `GossipNode`: state and choice of the reader (gossip.cc),
 /// confirmations of the state and signs of life (gossip-confirmations.cc),
+/// warnings (gossip-warnings.cc),
 /// links and heartbeats (gossip-links.cc), starts from parts of the list
 /// (gossip-parts.cc), views of the fleet (gossip-members.cc), impairment
 /// (gossip-health.cc), reports of stale state (gossip-lag.cc).
@@ -125,10 +126,7 @@
   void staleListRead(MonoTime Now, const ConfigResponse &Response);
   void readFailed(MonoTime Now, ConfigResponse::Outcome Reason);
   void listReadStarted(MonoTime Now);
-  void warn(MonoTime Now, const UpstreamWarning &M) {
-    if (!impaired()) // late answers show the state of the own host
-      forwardWarning(Now, M, nullptr);
-  }
+  void warn(MonoTime Now, const UpstreamWarning &M);
   void setLeaving(MonoTime Now);
   void setSeeds(std::vector<Endpoint> Seeds) {
     Options_.Seeds_ = std::move(Seeds);
@@ -157,8 +155,10 @@
   void handle(MonoTime Now, LinkId Link, const StateRequest &M);
   void handle(MonoTime Now, LinkId Link, const StateUpdate &M);
   void handle(MonoTime Now, LinkId Link, const UpstreamWarning &M);
+  static MonoTime observedAt(MonoTime Now, detail::GossipLink &L,
+                             const UpstreamWarning &M);
   bool forwardWarning(MonoTime Now, const UpstreamWarning &M,
-                      const LinkId *From);
+                      MonoTime ObservedAt, const LinkId *From);
   void notifyIfJoined(MonoTime Now, const PeerHeartbeat &M);
   bool apply(MonoTime Now, const RoutingTablePtr &Routing,
              const UpstreamBatch &Upstreams,
--- a/src/gossip-links.cc
+++ b/src/gossip-links.cc
@@ -35,11 +35,6 @@
 /// Sent heartbeats whose times are kept per link.
 constexpr std::size_t MaxSentHeartbeats = 16;
 
-std::uint64_t wholeMillis(MonoTime Time) {
-  return static_cast<std::uint64_t>(Time.time_since_epoch() /
-                                    std::chrono::milliseconds(1));
-}
-
 } // namespace
 
 void GossipNode::Impl::opened(MonoTime Now, LinkId Link, bool Outbound) {
@@ -125,8 +120,8 @@
   M.Sequence_ = ++L.Sequence_;
   M.EchoedSequence_ = L.LastReceivedSequence_;
   // Rounded so that the bound on the transit time holds.
-  M.SentAtMs_ = wholeMillis(Now);
-  M.EchoReceivedAtMs_ = wholeMillis(L.LastReceivedAt_) + 1;
+  M.SentAtMs_ = detail::wholeMillis(Now);
+  M.EchoReceivedAtMs_ = detail::wholeMillis(L.LastReceivedAt_) + 1;
   L.SentHeartbeats_.push_back({M.Sequence_, Now});
   if (L.SentHeartbeats_.size() > MaxSentHeartbeats)
     L.SentHeartbeats_.pop_front();
--- a/src/gossip-message.cc
+++ b/src/gossip-message.cc
@@ -171,8 +171,13 @@
 }
 
 Json toJson(const UpstreamWarning &M, MonoTime) {
-  return Json::array({raw(Type::Warning), raw(M.Upstream_), raw(M.Flow_),
-                      M.StartTimeMs_, raw(M.Kind_)});
+  Json Result = Json::array({raw(Type::Warning), raw(M.Upstream_), raw(M.Flow_),
+                             M.StartTimeMs_, raw(M.Kind_)});
+  if (M.SentAtMs_ != 0) {
+    Result.push_back(M.SentAtMs_);
+    Result.push_back(M.AgeMs_);
+  }
+  return Result;
 }
 
 /// Returns an integer from \p Min to \p Max. The library would convert one that
@@ -191,6 +196,11 @@
   return static_cast<std::uint32_t>(integerFrom(J, 0, Highest));
 }
 
+std::uint32_t ageFrom(const Json &J) {
+  return static_cast<std::uint32_t>(
+      integerFrom(J, 0, PeerHeartbeat::UnknownAgeMs));
+}
+
 std::vector<ServiceLoad> loadsFrom(const Json &J) {
   if (!J.is_array() || J.size() > Member::MaxServiceLoads)
     throw std::invalid_argument("not a list of service loads");
@@ -236,8 +246,7 @@
   if (J.size() > 18) {
     M.SentAtMs_ = integerFrom(J.at(16), 0, MaxClockMs);
     M.EchoReceivedAtMs_ = integerFrom(J.at(17), 0, MaxClockMs);
-    M.FailureAgeMs_ = static_cast<std::uint32_t>(
-        integerFrom(J.at(18), 0, PeerHeartbeat::UnknownAgeMs));
+    M.FailureAgeMs_ = ageFrom(J.at(18));
   }
   return M;
 }
@@ -336,6 +345,10 @@
   if (Kind > raw(UpstreamWarning::Kind::Failing))
     throw std::invalid_argument("unknown warning kind");
   M.Kind_ = static_cast<UpstreamWarning::Kind>(Kind);
+  if (J.size() > 6) {
+    M.SentAtMs_ = integerFrom(J.at(5), 0, MaxClockMs);
+    M.AgeMs_ = ageFrom(J.at(6));
+  }
   return M;
 }
 
--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -122,36 +122,6 @@
   sendHeartbeats(Now);
 }
 
-void GossipNode::Impl::handle(MonoTime Now, LinkId Link,
-                              const UpstreamWarning &M) {
-  if (forwardWarning(Now, M, &Link))
-    Hooks_.OnWarning_(M);
-}
-
-/// Sends a warning on all links except its source. Returns false if it was sent
-/// recently or its kind has reached its limit.
-bool GossipNode::Impl::forwardWarning(MonoTime Now, const UpstreamWarning &M,
-                                      const LinkId *From) {
-  auto Known = RecentWarnings_.find(M);
-  bool Repeated = Known != RecentWarnings_.end() && Now < Known->second;
-  auto SameKind = [&M](const auto &Item) {
-    return Item.first.Kind_ == M.Kind_;
-  };
-  auto SameKindCount =
-      std::count_if(RecentWarnings_.begin(), RecentWarnings_.end(), SameKind);
-  if (!detail::isEnabled(detail::Mechanism::PeerWarnings) || Repeated ||
-      static_cast<std::size_t>(SameKindCount) >= MaxWarningsPerInterval)
-    return false;
-  RecentWarnings_[M] = Now + WarningInterval;
-  for (const auto &[Link, L] : Links_) {
-    if (From && *From == Link)
-      continue;
-    ++Counters_.WarningsSent_;
-    Hooks_.Send_(Link, M);
-  }
-  return true;
-}
-
 bool GossipNode::Impl::apply(MonoTime Now, const RoutingTablePtr &Routing,
                              const UpstreamBatch &Upstreams,
                              const EvacuationBatch &Evacuations) {
--- a/src/packet-pages.cc
+++ b/src/packet-pages.cc
@@ -51,6 +51,7 @@
       {"news_taken", R.Gossip_.UpdatesReceived_},
       {"news_gaps", R.Gossip_.RevisionGaps_},
       {"warnings_sent", R.Gossip_.WarningsSent_},
+      {"warnings_expired", R.Gossip_.ExpiredWarnings_},
       {"stale_claims", R.Gossip_.StaleConfirmations_},
       {"peer_links", R.Gossip_.Links_},
       {"peers", R.Gossip_.Members_},
--- a/src/peer-clock.h
+++ b/src/peer-clock.h
@@ -11,6 +11,12 @@
 
 namespace thymewall::detail {
 
+/// Returns what messages carry as the time by the sender's clock.
+inline std::uint64_t wholeMillis(MonoTime Time) {
+  return static_cast<std::uint64_t>(Time.time_since_epoch() /
+                                    std::chrono::milliseconds(1));
+}
+
 /// Lower bound of the difference between this host's clock and a peer's, from
 /// messages whose receipt the peer has reported: what it received at `T` by its
 /// clock was sent here before. The bound is off by the shortest time that a
--- a/test/peer-clock-test.cc
+++ b/test/peer-clock-test.cc
@@ -42,14 +42,14 @@
     Peer P{std::chrono::milliseconds(*rc::gen::inRange(0, 1000000))};
     MonoTime Now = at(0s);
     for (int Step = 0; Step < 30; ++Step) {
-      auto delay = [] {
+      auto Delay = [] {
         return std::chrono::milliseconds(*rc::gen::inRange(0, 3000));
       };
       MonoTime SentAt = Now;
-      Micros There = delay();
+      Micros There = Delay();
       MonoTime PeerReceivedAt = SentAt + There;
-      MonoTime PeerSentAt = PeerReceivedAt + delay();
-      Now = PeerSentAt + delay();
+      MonoTime PeerSentAt = PeerReceivedAt + Delay();
+      Now = PeerSentAt + Delay();
       Clock.record(Now, SentAt, P.clock(PeerReceivedAt));
       std::optional<MonoTime> Bound =
           Clock.sentNotBefore(Now, P.clock(PeerSentAt));
--- a/test/starved-gossip-test.cc
+++ b/test/starved-gossip-test.cc
@@ -69,3 +69,17 @@
     CHECK(Longest.count() <= Micros(3s).count());
   }
 }
+
+TEST_CASE("a warning is not forwarded forever among starved balancers") {
+  for (Micros ReadInterval : {400ms, 900ms}) {
+    CAPTURE(ReadInterval.count());
+    StarvedFleet Starved(40, 5, ReadInterval);
+    GossipFleet &Fleet = Starved.Fleet_;
+    UpstreamWarning Warning;
+    Warning.Upstream_ = Incarnation{1};
+    Fleet.gossip(0).warn(Fleet.clock(), Warning);
+    Fleet.run(30s);
+    for (std::size_t Which = 0; Which < Fleet.size(); ++Which)
+      CHECK(Fleet.warnings(Which).size() <= 1);
+  }
+}
