--- a/include/thymewall/answer-sizes.h
+++ b/include/thymewall/answer-sizes.h
@@ -41,6 +41,9 @@
 
   /// Records an answer; returns true if it is much shorter than usual.
   bool recordAndCheckShort(const Endpoint &Address, std::uint32_t Bytes);
+  /// Number of distributions that were discarded because the service itself
+  /// seemed to give other answers.
+  std::uint64_t discardedBaselines() const;
 
 private:
   class Impl;
--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -176,6 +176,8 @@
   std::uint64_t Stalled_ = 0;
   std::uint64_t Failing_ = 0;
   std::uint64_t LateWakes_ = 0;
+  /// Distributions of answer sizes that were discarded, see `AnswerSizes`.
+  std::uint64_t BaselinesDiscarded_ = 0;
   /// Evidence that ejected no upstream because its service is overloaded.
   std::uint64_t HeldBack_ = 0;
   std::uint64_t RetriesRefused_ = 0;      ///< By the retry limit.
--- a/src/answer-sizes.cc
+++ b/src/answer-sizes.cc
@@ -33,6 +33,8 @@
 class SizeBaseline {
 public:
   bool recordAndCheckShort(std::uint32_t Bytes);
+  /// Whether the service itself now gives other answers.
+  bool isObsolete() const { return ShortShare_ > ResetShare; }
 
 private:
   void addSample(std::uint32_t Bytes);
@@ -47,9 +49,7 @@
   bool Short = Samples_ >= AnswerSizes::MinSamples &&
                Bytes * AnswerSizes::ShortFactor < ShortestUsual_;
   ShortShare_ += ((Short ? 1 : 0) - ShortShare_) * SmoothingFactor;
-  if (ShortShare_ > ResetShare)
-    *this = SizeBaseline();
-  else if (!Short)
+  if (!Short)
     addSample(Bytes);
   return Short;
 }
@@ -82,10 +82,19 @@
     bool Full = Baselines_.size() >= MaxAddresses;
     if (Full && Baselines_.count(Address) == 0)
       return false;
-    return Baselines_[Address].recordAndCheckShort(Bytes);
+    SizeBaseline &Baseline = Baselines_[Address];
+    bool Short = Baseline.recordAndCheckShort(Bytes);
+    if (Baseline.isObsolete()) {
+      Baseline = SizeBaseline();
+      ++Discarded_;
+    }
+    return Short;
   }
 
+  std::uint64_t discardedBaselines() const { return Discarded_; }
+
 private:
+  std::uint64_t Discarded_ = 0;
   std::unordered_map<Endpoint, SizeBaseline, EndpointHash> Baselines_;
 };
 
@@ -97,5 +106,8 @@
                                       std::uint32_t Bytes) {
   return Impl_->recordAndCheckShort(Address, Bytes);
 }
+std::uint64_t AnswerSizes::discardedBaselines() const {
+  return Impl_->discardedBaselines();
+}
 
 } // namespace thymewall
--- a/src/packet-balancer-evidence.cc
+++ b/src/packet-balancer-evidence.cc
@@ -243,7 +243,9 @@
   ServiceState &Service = Services_[raw(State.Service_)];
   Service.RecentAnswers_.add();
   std::uint32_t Bytes = P.Acknowledged_ - Row.Acknowledged_;
-  if (AnswerSizes_.recordAndCheckShort(P.Service_, Bytes)) {
+  bool IsShort = AnswerSizes_.recordAndCheckShort(P.Service_, Bytes);
+  Counters_.BaselinesDiscarded_ = AnswerSizes_.discardedBaselines();
+  if (IsShort) {
     Service.RecentShortAnswers_.add();
     ++State.ShortAnswerRun_;
     recordShortAnswer(Row.Upstream_, Row.Flow_, true);
--- a/src/packet-pages.cc
+++ b/src/packet-pages.cc
@@ -42,6 +42,7 @@
       {"upstreams_stalled", C.Stalled_},
       {"upstreams_failing", C.Failing_},
       {"ejections_held_back", C.HeldBack_},
+      {"answer_baselines_discarded", C.BaselinesDiscarded_},
       {"retries_refused", C.RetriesRefused_},
       {"openings_rejected_by_flow_limit", C.RejectedByFlowLimit_},
       {"late_wakes", C.LateWakes_},
