An upstream that fails at once doesn't change what balancers take for usual

What callers saw: in a crowd, one balancer of eight keeps an upstream that fails every request, and sends it new flows to the end.

An upstream that fails at once is never busy, so it gets the next opening, and gives most of the answers; full upstreams reject beside it. A share over answers stood for a share over upstreams.

Ruled out: evidence held back as overload (271 there, 302 to 338 on the others); missing warnings of peers.

Change: a baseline is discarded if most of the latest 64 answers are short and fewer than half of the upstreams that gave them gave a usual one.

--- a/include/thymewall/answer-sizes.h
+++ b/include/thymewall/answer-sizes.h
@@ -39,8 +39,10 @@
   AnswerSizes &operator=(AnswerSizes &&) noexcept;
   ~AnswerSizes();
 
-  /// Records an answer; returns true if it is much shorter than usual.
-  bool recordAndCheckShort(const Endpoint &Address, std::uint32_t Bytes);
+  /// Records an answer of \p Upstream; returns true if it is much shorter than
+  /// usual.
+  bool recordAndCheckShort(const Endpoint &Address, Incarnation Upstream,
+                           std::uint32_t Bytes);
   /// Number of distributions that were discarded because the service itself
   /// seemed to give other answers.
   std::uint64_t discardedBaselines() const;
--- a/src/answer-sizes.cc
+++ b/src/answer-sizes.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/histogram/axis/regular.hpp>
 #include <boost/histogram/make_histogram.hpp>
+#include <deque>
+#include <set>
 #include <vector>
 
 namespace thymewall {
@@ -13,12 +15,9 @@
 constexpr unsigned Buckets = 32;
 constexpr double SmallestSize = 16;
 constexpr double LargestSize = 1 << 20;
-/// Weight of the newest answer in the moving average of short answers, which
-/// follows about the last 32 answers.
-constexpr double SmoothingFactor = 1.0 / 32;
-/// Share of short answers above which the baseline is discarded: not some
-/// upstreams fail, but the service itself now gives other answers.
-constexpr double ResetShare = 0.5;
+/// Number of latest answers that show whether the service itself now gives
+/// other answers.
+constexpr std::size_t LatestAnswers = 64;
 
 using Axis =
     boost::histogram::axis::regular<double,
@@ -32,28 +31,56 @@
 /// Answer sizes of one address.
 class SizeBaseline {
 public:
-  bool recordAndCheckShort(std::uint32_t Bytes);
-  /// Whether the service itself now gives other answers.
-  bool isObsolete() const { return ShortShare_ > ResetShare; }
+  bool recordAndCheckShort(Incarnation Upstream, std::uint32_t Bytes);
+  /// Whether the service itself now gives other answers: most of the latest are
+  /// short, and few upstreams give usual ones. The share alone doesn't show it:
+  /// an upstream that fails at once may give most of the answers, and full
+  /// upstreams reject many requests beside their usual answers.
+  bool isObsolete() const;
 
 private:
+  struct Answer {
+    Incarnation Upstream_;
+    bool Short_;
+  };
+
   void addSample(std::uint32_t Bytes);
 
   decltype(emptyHistogram()) Histogram_ = emptyHistogram();
   std::uint32_t Samples_ = 0;
   double ShortestUsual_ = 0; ///< Bytes; updated every `MinSamples`.
-  double ShortShare_ = 0;    ///< Exponential moving average.
+  std::deque<Answer> Latest_;
+  std::size_t LatestShort_ = 0; ///< Short answers in `Latest_`.
 };
 
-bool SizeBaseline::recordAndCheckShort(std::uint32_t Bytes) {
+bool SizeBaseline::recordAndCheckShort(Incarnation Upstream,
+                                       std::uint32_t Bytes) {
   bool Short = Samples_ >= AnswerSizes::MinSamples &&
                Bytes * AnswerSizes::ShortFactor < ShortestUsual_;
-  ShortShare_ += ((Short ? 1 : 0) - ShortShare_) * SmoothingFactor;
+  Latest_.push_back({Upstream, Short});
+  LatestShort_ += Short ? 1 : 0;
+  if (Latest_.size() > LatestAnswers) {
+    LatestShort_ -= Latest_.front().Short_ ? 1 : 0;
+    Latest_.pop_front();
+  }
   if (!Short)
     addSample(Bytes);
   return Short;
 }
 
+bool SizeBaseline::isObsolete() const {
+  if (LatestShort_ <= LatestAnswers / 2)
+    return false;
+  std::set<Incarnation> All;
+  std::set<Incarnation> GivingUsual;
+  for (const Answer &A : Latest_) {
+    All.insert(A.Upstream_);
+    if (!A.Short_)
+      GivingUsual.insert(A.Upstream_);
+  }
+  return 2 * GivingUsual.size() < All.size();
+}
+
 void SizeBaseline::addSample(std::uint32_t Bytes) {
   Histogram_(std::clamp<double>(Bytes, SmallestSize, LargestSize - 1));
   ++Samples_;
@@ -78,12 +105,13 @@
 
 class AnswerSizes::Impl {
 public:
-  bool recordAndCheckShort(const Endpoint &Address, std::uint32_t Bytes) {
+  bool recordAndCheckShort(const Endpoint &Address, Incarnation Upstream,
+                           std::uint32_t Bytes) {
     bool Full = Baselines_.size() >= MaxAddresses;
     if (Full && Baselines_.count(Address) == 0)
       return false;
     SizeBaseline &Baseline = Baselines_[Address];
-    bool Short = Baseline.recordAndCheckShort(Bytes);
+    bool Short = Baseline.recordAndCheckShort(Upstream, Bytes);
     if (Baseline.isObsolete()) {
       Baseline = SizeBaseline();
       ++Discarded_;
@@ -103,8 +131,9 @@
 AnswerSizes &AnswerSizes::operator=(AnswerSizes &&) noexcept = default;
 AnswerSizes::~AnswerSizes() = default;
 bool AnswerSizes::recordAndCheckShort(const Endpoint &Address,
+                                      Incarnation Upstream,
                                       std::uint32_t Bytes) {
-  return Impl_->recordAndCheckShort(Address, Bytes);
+  return Impl_->recordAndCheckShort(Address, Upstream, Bytes);
 }
 std::uint64_t AnswerSizes::discardedBaselines() const {
   return Impl_->discardedBaselines();
--- a/src/packet-balancer-evidence.cc
+++ b/src/packet-balancer-evidence.cc
@@ -243,7 +243,8 @@
   ServiceState &Service = Services_[raw(State.Service_)];
   Service.RecentAnswers_.add();
   std::uint32_t Bytes = P.Acknowledged_ - Row.Acknowledged_;
-  bool IsShort = AnswerSizes_.recordAndCheckShort(P.Service_, Bytes);
+  bool IsShort = AnswerSizes_.recordAndCheckShort(
+      P.Service_, Upstreams_[Row.Upstream_].Incarnation_, Bytes);
   Counters_.BaselinesDiscarded_ = AnswerSizes_.discardedBaselines();
   if (IsShort) {
     Service.RecentShortAnswers_.add();
--- a/test/answer-evidence-test.cc
+++ b/test/answer-evidence-test.cc
@@ -134,18 +134,20 @@
 
 } // namespace
 
+constexpr Incarnation Any{1};
+
 TEST_CASE("an answer below half of the shortest usual size is short") {
   AnswerSizes Sizes;
   std::mt19937_64 Random(3);
   for (std::uint32_t I = 0; I < AnswerSizes::MinSamples - 1; ++I)
-    Sizes.recordAndCheckShort(Address, metadataSize(Random));
+    Sizes.recordAndCheckShort(Address, Any, metadataSize(Random));
   CHECK_FALSE(
-      Sizes.recordAndCheckShort(Address, ErrorBytes)); // too few samples
+      Sizes.recordAndCheckShort(Address, Any, ErrorBytes)); // too few samples
   for (std::uint32_t I = 0; I < 1000; ++I)
-    CHECK_FALSE(Sizes.recordAndCheckShort(Address, metadataSize(Random)));
-  CHECK(Sizes.recordAndCheckShort(Address, ErrorBytes));
+    CHECK_FALSE(Sizes.recordAndCheckShort(Address, Any, metadataSize(Random)));
+  CHECK(Sizes.recordAndCheckShort(Address, Any, ErrorBytes));
   CHECK_FALSE(
-      Sizes.recordAndCheckShort(Endpoint::v4(0xc6120001, 80), ErrorBytes));
+      Sizes.recordAndCheckShort(Endpoint::v4(0xc6120001, 80), Any, ErrorBytes));
 }
 
 TEST_CASE("the baseline ignores errors in a fifth of the answers but follows "
@@ -153,23 +155,46 @@
   AnswerSizes Sizes;
   std::mt19937_64 Random(3);
   for (int I = 0; I < 1000; ++I)
-    Sizes.recordAndCheckShort(Address, metadataSize(Random));
+    Sizes.recordAndCheckShort(Address, Any, metadataSize(Random));
   for (int I = 0; I < 5000; ++I)
-    Sizes.recordAndCheckShort(Address,
+    Sizes.recordAndCheckShort(Address, Any,
                               I % 5 == 0 ? ErrorBytes : metadataSize(Random));
-  CHECK(Sizes.recordAndCheckShort(Address, ErrorBytes));
+  CHECK(Sizes.recordAndCheckShort(Address, Any, ErrorBytes));
+  for (int I = 0; I < 300; ++I)
+    Sizes.recordAndCheckShort(Address, Any, ErrorBytes + I % 20);
+  CHECK_FALSE(Sizes.recordAndCheckShort(Address, Any, ErrorBytes));
+}
+
+TEST_CASE("an upstream that gives most of the answers doesn't change what is "
+          "usual") {
+  AnswerSizes Sizes;
+  std::mt19937_64 Random(3);
+  auto Upstream = [](int I) {
+    return Incarnation{2 + static_cast<std::uint64_t>(I) % 7};
+  };
+  for (int I = 0; I < 1000; ++I)
+    Sizes.recordAndCheckShort(Address, Upstream(I), metadataSize(Random));
+  // It fails at once, and the others are busy.
+  for (int I = 0; I < 500; ++I) {
+    CHECK(Sizes.recordAndCheckShort(Address, Incarnation{1}, ErrorBytes));
+    if (I % 5 == 0)
+      Sizes.recordAndCheckShort(Address, Upstream(I), metadataSize(Random));
+  }
+  CHECK(Sizes.discardedBaselines() == 0);
+  // All give other answers.
   for (int I = 0; I < 300; ++I)
-    Sizes.recordAndCheckShort(Address, ErrorBytes + I % 20);
-  CHECK_FALSE(Sizes.recordAndCheckShort(Address, ErrorBytes));
+    Sizes.recordAndCheckShort(Address, Upstream(I), ErrorBytes + I % 20);
+  CHECK_FALSE(Sizes.recordAndCheckShort(Address, Upstream(0), ErrorBytes));
+  CHECK(Sizes.discardedBaselines() == 1);
 }
 
 TEST_CASE("no answer is short if one in fifty regular answers is as small") {
   AnswerSizes Sizes;
   std::mt19937_64 Random(3);
   for (int I = 0; I < 2000; ++I)
-    Sizes.recordAndCheckShort(Address,
+    Sizes.recordAndCheckShort(Address, Any,
                               I % 50 == 0 ? ErrorBytes : metadataSize(Random));
-  CHECK_FALSE(Sizes.recordAndCheckShort(Address, ErrorBytes));
+  CHECK_FALSE(Sizes.recordAndCheckShort(Address, Any, ErrorBytes));
 }
 
 TEST_CASE(
--- a/test/overload-fleet.cc
+++ b/test/overload-fleet.cc
@@ -24,8 +24,8 @@
 } // namespace
 
 OverloadFleet::OverloadFleet(std::size_t Balancers, std::size_t Upstreams,
-                             Admission Way)
-    : Balancers_(Balancers), Upstreams_(Upstreams) {
+                             Admission Way, std::uint64_t Seed)
+    : Balancers_(Balancers), Upstreams_(Upstreams), Random_(Seed) {
   std::vector<UpstreamChange> Changes;
   for (std::uint64_t Id = 1; Id <= Upstreams; ++Id)
     Changes.push_back(publishedUpstream(Id, IndexService));
--- a/test/overload-fleet.h
+++ b/test/overload-fleet.h
@@ -25,7 +25,8 @@
     Deaf   ///< Doesn't answer openings.
   };
 
-  OverloadFleet(std::size_t Balancers, std::size_t Upstreams, Admission Way);
+  OverloadFleet(std::size_t Balancers, std::size_t Upstreams, Admission Way,
+                std::uint64_t Seed = 11);
 
   void run(Micros For);
   /// Sets the load as a multiple of what all upstreams together can process at
@@ -89,7 +90,7 @@
   double Load_ = 0;
   double WorkFactor_ = 1;
   bool DropsOpenings_ = false;
-  std::mt19937_64 Random_{11};
+  std::mt19937_64 Random_;
   EventQueue Events_;
   Micros Elapsed_{};
 };
--- a/test/overload-test.cc
+++ b/test/overload-test.cc
@@ -22,8 +22,9 @@
 constexpr double UsualLoad = 0.45;
 
 /// Returns a fleet that has served its usual load for a while.
-std::unique_ptr<OverloadFleet> busyFleet(Admission Way) {
-  auto Fleet = std::make_unique<OverloadFleet>(Balancers, Upstreams, Way);
+std::unique_ptr<OverloadFleet> busyFleet(Admission Way,
+                                         std::uint64_t Seed = 11) {
+  auto Fleet = std::make_unique<OverloadFleet>(Balancers, Upstreams, Way, Seed);
   Fleet->setLoad(UsualLoad);
   Fleet->run(10s);
   return Fleet;
@@ -54,8 +55,9 @@
 /// upstreams, or nothing if they have not after 5 s.
 std::optional<Micros> detectionTime(Admission Way, const Trouble &Begin,
                                     std::uint64_t Faulty, Conduct Which,
-                                    std::size_t Count = Balancers) {
-  auto F = busyFleet(Way);
+                                    std::size_t Count = Balancers,
+                                    std::uint64_t Seed = 11) {
+  auto F = busyFleet(Way, Seed);
   Begin(*F);
   F->run(500ms);
   MonoTime Since = F->now();
@@ -117,13 +119,22 @@
 // for the service's new answers (AnswerSizes): it no longer blames any
 // upstream.
 TEST_CASE("one upstream that fails requests is ejected by all balancers in a "
-          "crowd that fills the others" *
-          doctest::may_fail()) {
+          "crowd that fills the others") {
   auto Time = detectionTime(Admission::Backlog, crowd, 1, Conduct::Fails);
   REQUIRE(Time);
   CHECK(*Time < 2s);
 }
 
+TEST_CASE("a failing upstream's own answers don't make it look healthy") {
+  for (std::uint64_t Seed : {2U, 3U, 6U, 10U, 12U, 21U}) {
+    CAPTURE(Seed);
+    auto Time = detectionTime(Admission::Backlog, crowd, 1, Conduct::Fails,
+                              Balancers, Seed);
+    REQUIRE(Time);
+    CHECK(*Time < 2s);
+  }
+}
+
 TEST_CASE(
     "without overload, a faulty fifth of the upstreams is ejected as fast "
     "as without the guard") {
