--- a/include/thymewall/gossip.h
+++ b/include/thymewall/gossip.h
@@ -35,6 +35,13 @@
   /// Upper bound on the transit time of that message.
   Micros MaxTransit_{0};
 };
+inline bool operator==(const StateLag &A, const StateLag &B) {
+  auto Fields = [](const StateLag &L) {
+    return std::tie(L.NewestPeer_, L.NewestRevision_, L.BehindFor_,
+                    L.ConfirmedBy_, L.MaxTransit_);
+  };
+  return Fields(A) == Fields(B);
+}
 
 /// Callbacks for outgoing messages, connections and changes of state.
 struct GossipHooks {
--- a/src/gossip-confirmations.cc
+++ b/src/gossip-confirmations.cc
@@ -17,12 +17,8 @@
   if (M.ReaderAgeMs_ != PeerHeartbeat::UnknownAgeMs)
     noteReader(M.ReaderScore_,
                SentAt - std::chrono::milliseconds(M.ReaderAgeMs_), Now);
-  MonoTime AsOf = SentAt - std::chrono::milliseconds(M.StateAgeMs_);
-  if (AsOf > ConfirmedAsOf_) {
-    Lag_.ConfirmedBy_ = M.Sender_.Name_;
-    Lag_.MaxTransit_ = Now - SentAt;
-  }
-  confirm(Now, AsOf);
+  confirm(Now, SentAt - std::chrono::milliseconds(M.StateAgeMs_),
+          M.Sender_.Name_, SentAt);
   // Sent at once: a lower reader score that waited for the next confirmation at
   // each hop would expire after three hops, and two balancers would go on
   // reading.
@@ -79,10 +75,14 @@
     noteFailure(Now, Now);
 }
 
-void GossipNode::Impl::confirm(MonoTime Now, MonoTime AsOf) {
+/// \p Peer is empty if this balancer has read the state itself.
+void GossipNode::Impl::confirm(MonoTime Now, MonoTime AsOf,
+                               const std::string &Peer, MonoTime SentAt) {
   if (AsOf <= ConfirmedAsOf_)
     return;
   ConfirmedAsOf_ = AsOf;
+  Lag_.ConfirmedBy_ = Peer;
+  Lag_.MaxTransit_ = Now - SentAt;
   Hooks_.OnConfirmed_(AsOf);
   if (ConfirmedAsOf_ - AnnouncedAsOf_ > ConfirmationStep)
     sendHeartbeats(Now);
--- a/src/gossip-impl.h
+++ b/src/gossip-impl.h
@@ -176,7 +176,8 @@
   Micros ownShareOf(Micros Range) const;
   MonoTime takeoverTime(MonoTime ConfirmedAt) const;
   void noteFailure(MonoTime Now, MonoTime At);
-  void confirm(MonoTime Now, MonoTime AsOf);
+  void confirm(MonoTime Now, MonoTime AsOf, const std::string &Peer,
+               MonoTime SentAt);
   void requestIfBehind(MonoTime Now, LinkId Link, const PeerHeartbeat &M);
   void noteNewerState(MonoTime Now, const PeerHeartbeat &M);
   void reportLag(MonoTime Now);
--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -118,7 +118,8 @@
   }
   // The response was made after the request was sent.
   if (M.StateAgeMs_ != PeerHeartbeat::UnknownAgeMs)
-    confirm(Now, Request.SentAt_ - std::chrono::milliseconds(M.StateAgeMs_));
+    confirm(Now, Request.SentAt_ - std::chrono::milliseconds(M.StateAgeMs_),
+            Links_[Link].Peer_, Request.SentAt_);
   sendHeartbeats(Now);
 }
 
@@ -172,9 +173,7 @@
   HasRead_ = true;
   noteReader(Score_, Now, Now);
   IsReader_ = FirstReader_.Score_ == Score_;
-  Lag_.ConfirmedBy_.clear();
-  Lag_.MaxTransit_ = Micros(0);
-  confirm(Now, AsOf);
+  confirm(Now, AsOf, "", Now);
   if (List_.through() != Before)
     sendHeartbeats(Now);
   return true;
