--- a/review/1/case.py
+++ b/review/1/case.py
@@ -57,7 +57,7 @@
     if not by_reader:
         raise w.CannotRun("the reader opened no flow on the new route")
     lost = [r for _, r, _ in world.lost_requests if r.startswith("new-")]
-    print("%d flows on the new route opened through %s; %d of them reset, %d requests in progress lost" % (
+    world.summary.append("%d flows on the new route opened through %s; %d of them reset, %d requests in progress lost" % (
         len(by_reader), reader.name, sum(f.closed_by == "reset" for f in by_reader), len(lost)))
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -63,7 +63,7 @@
     if not all(endpoint.openings for endpoint in leaving):
         raise w.CannotRun("an endpoint got no flow")
     lost = [r for at, r, key in world.lost_requests if at >= ended and key in held]
-    print("%d openings later than drain-ms; %d requests lost when the endpoints ended" % (len(late), len(lost)))
+    world.summary.append("%d openings later than drain-ms; %d requests lost when the endpoints ended" % (len(late), len(lost)))
 
 
 w.play(FOLDER, case, count=8, proxied=True)
--- a/review/standin.py
+++ b/review/standin.py
@@ -685,6 +685,7 @@
         self.last_port = 1024
         self.opening_hooks = []
         self.lost_requests = []
+        self.summary = []  # printed at the end
 
     def ip(self, third, fourth):
         return "127.%d.%d.%d" % (self.net, third, fourth)
@@ -881,10 +882,14 @@
             if balancer.process and balancer.process.returncode is None:
                 balancer.process.kill()
                 await balancer.process.wait()
-        tasks = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        # More than once: `asyncio.wait_for` may swallow a cancellation that comes with its result.
+        for _ in range(6):
+            tasks = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
+            if not tasks:
+                break
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks, timeout=0.5)
         self.record.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -941,17 +946,19 @@
         playing = asyncio.ensure_future(case(world, os.environ.get("TROUBLE", "1") != "0"))
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
+        failure = None
         try:
             await asyncio.wait_for(playing, 110)
-            status = 1 if world.broken else 0
-            for rule, text in world.broken[:5]:
-                print("%s broken: %s" % (rule, text))
-            print("%d breaks in all; record.txt has the details" % len(world.broken))
         except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as error:
-            print("could not run: %r" % error)
-            status = 2
+            failure = error
         finally:
             await world.stop()
-        return status
+        print("\n".join(world.summary + ["%s broken: %s" % b for b in world.broken[:5]]))
+        if failure:
+            print("could not run: %r" % failure)
+        else:
+            print("%d breaks in all; record.txt has the details" % len(world.broken))
+        sys.stdout.flush()
+        os._exit(2 if failure else 1 if world.broken else 0)
 
-    sys.exit(asyncio.run(main()))
+    asyncio.run(main())
