An outage of the configuration service needs failed calls, not old state

Cause: `GossipNode::Impl::apply` took a state older than 2.5 s for an outage of the service, and `removeUpstream` then kept missing upstreams in use for 2 s. The age grows as well when nobody calls: a survivor waited for its rank (0.1 s each) and, since silent peers make a host look impaired, 0.4 s more. So the same happened to any balancer whose turn came late, in fleets of 8 to 40, and to any that was suspended for 2.5 s.

Change: - `OutageDetector`: a gap between two confirmations is an outage if a call of this balancer failed in it and it is 1.5 s or longer, or if others reported failed calls and it exceeds 2.5 s. A call without a response in which this process was suspended is no evidence. `configuration_service_outage_ended` in the log. - A balancer that hears no peer reads after 1.5 s whatever its rank and its impairment; in a fleet of up to 19 none waits past 2.3 s. So while the service answers, no balancer of a small fleet has state older than 2.5 s, and the survivor of a power loss calls soon enough to see an outage itself. - After an outage, the end of the grace period is passed on as a deadline, so that entries that lapse just after it are kept as well. An upstream goes only when a list as of that deadline still lacks it: one that is back isn't dropped because this balancer hasn't read yet.

Changed tests: "an upstream that is missing after an outage is removed after two seconds" now confirms the state as it goes, and a second test shows that without a later list it stays. "all members notice an outage" publishes its later changes at 15 s instead of 13 s: the grace period is now counted from the end of the outage as each member learns of it, also for later updates.

--- a/include/thymewall/config-reader.h
+++ b/include/thymewall/config-reader.h
@@ -116,6 +116,8 @@
   void noPeersFound(MonoTime Now);
   /// Makes the next call read the full list.
   void requestList() { ListNeeded_ = true; }
+  /// Returns when the last call began.
+  MonoTime sentAt() const { return SentAt_; }
   /// Returns the time up to which the last response includes all changes.
   MonoTime completeAt() const { return CompleteAt_; }
 
--- a/include/thymewall/gossip.h
+++ b/include/thymewall/gossip.h
@@ -43,6 +43,24 @@
   return Fields(A) == Fields(B);
 }
 
+/// An outage of the configuration service that has ended.
+struct ServiceOutage {
+  enum class Evidence : std::uint8_t {
+    OwnCalls,   ///< Calls of this balancer failed.
+    PeerReports ///< Other balancers reported failed calls.
+  };
+
+  MonoTime LastConfirmedAt_{}; ///< Last confirmation of the state before it.
+  MonoTime ConfirmedAt_{};     ///< First one after it.
+  Evidence Evidence_ = Evidence::OwnCalls;
+};
+inline bool operator==(const ServiceOutage &A, const ServiceOutage &B) {
+  auto Fields = [](const ServiceOutage &O) {
+    return std::tie(O.LastConfirmedAt_, O.ConfirmedAt_, O.Evidence_);
+  };
+  return Fields(A) == Fields(B);
+}
+
 /// Callbacks for outgoing messages, connections and changes of state.
 struct GossipHooks {
   std::function<void(LinkId, const GossipMessage &)> Send_;
@@ -50,10 +68,14 @@
   std::function<void(LinkId)> Close_;
   /// A newer routing table has arrived.
   std::function<void(const RoutingTablePtr &)> OnRouting_;
-  /// Upstreams have changed. \p MayReturn is set after an outage of the
-  /// configuration service: upstreams missing from the list may come back.
-  std::function<void(const std::vector<UpstreamChange> &, bool MayReturn)>
+  /// Upstreams have changed. Those missing from the list may come back until
+  /// \p MayReturnUntil, which has passed unless an outage of the configuration
+  /// service has just ended.
+  std::function<void(const std::vector<UpstreamChange> &,
+                     MonoTime MayReturnUntil)>
       OnUpstreams_;
+  /// An outage of the configuration service has ended. Optional.
+  std::function<void(const ServiceOutage &)> OnOutageEnded_;
   /// Evacuations of data halls have changed.
   std::function<void(const std::vector<EvacuationChange> &)> OnEvacuations_;
   /// The state is complete as of \p AsOf.
@@ -106,9 +128,8 @@
   /// one more `TakeoverStep`.
   static constexpr Micros TakeoverAge = std::chrono::milliseconds(1500);
   static constexpr Micros TakeoverStep = std::chrono::milliseconds(100);
-  /// Additional age of the state at which an impaired balancer reads: the next
-  /// ranks take over first, and the state stays below `OutageAge` if all are
-  /// impaired.
+  /// Additional age of the state at which an impaired balancer reads, so that
+  /// the next ranks take over first.
   static constexpr Micros ImpairedReadDelay = 4 * TakeoverStep;
   /// A sign of life of the first live balancer, or the report of a failed call,
   /// is forwarded at once if it is newer by more than this than the last
@@ -124,6 +145,9 @@
   /// For how long the report of a failed call counts. Until an outage ends,
   /// more calls fail within it.
   static constexpr Micros FailureLifetime = TakeoverAge;
+  /// A balancer of a large fleet that has heard no peer for this long is
+  /// isolated. Peers short of processor time may miss a heartbeat interval.
+  static constexpr Micros IsolationTimeout = 2 * HeartbeatInterval;
   /// Range over which the members of a network partition spread their first
   /// reads when the balancer of rank 0 is on the other side.
   static constexpr Micros PartitionJitter = std::chrono::milliseconds(800);
@@ -134,7 +158,9 @@
   /// to report the current reader, which confirms once per
   /// `ConfigReader::WatchTimeout`.
   static constexpr Micros FirstReadPause = std::chrono::milliseconds(700);
-  /// State older than this means that the configuration service had an outage.
+  /// Age of the state from which failed calls of other balancers mean that the
+  /// configuration service has an outage. While it answers, each balancer of a
+  /// small fleet reads it before that age, whatever its rank.
   static constexpr Micros OutageAge = std::chrono::milliseconds(2500);
   /// Delay before reconnecting to a peer that was lost or unreachable; a peer
   /// that is back opens links itself.
@@ -183,9 +209,10 @@
   /// A stale list was read. It suffices to serve callers, but doesn't make the
   /// state current.
   void staleListRead(MonoTime Now, const ConfigResponse &Response);
-  /// A call of the configuration service failed; another balancer may take
-  /// over.
-  void readFailed(MonoTime Now, ConfigResponse::Outcome Reason);
+  /// A call of the configuration service, begun at \p SentAt, failed; another
+  /// balancer may take over.
+  void readFailed(MonoTime Now, ConfigResponse::Outcome Reason,
+                  MonoTime SentAt);
   /// Records that this balancer has begun to read the full list for the fleet.
   void listReadStarted(MonoTime Now);
   /// Sends a warning about an upstream to the fleet.
--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -80,7 +80,7 @@
     Listed,    ///< Published for the first time or again.
     Restarted, ///< Started again under its incarnation.
     Draining,
-    Lapsed,  ///< Missing from the list; may return within `LapseTimeout`.
+    Lapsed,  ///< Missing from the list after an outage; may return.
     Gone,    ///< No longer published.
     Ejected, ///< Left openings unanswered.
     Stalled, ///< Left requests unanswered.
@@ -253,10 +253,6 @@
   static constexpr Micros TickInterval = std::chrono::milliseconds(250);
   /// A tick this late means that the process was suspended.
   static constexpr Micros LateTickThreshold = std::chrono::milliseconds(1000);
-  /// How long an upstream may be missing from the list after an outage of the
-  /// configuration service. Live upstreams publish themselves again in this
-  /// time.
-  static constexpr Micros LapseTimeout = std::chrono::milliseconds(2000);
 
   /// Largest update whose upstreams are reported as one event each. The initial
   /// list of thousands would displace all other log lines.
@@ -281,11 +277,11 @@
   Verdict retryOpening(MonoTime Now, const Packet &P);
   /// Replaces the routing table; ignores one that is not newer.
   void setRouting(MonoTime Now, RoutingTablePtr Table);
-  /// Applies changes of the upstream list. With \p MayReturn, which is set
-  /// after an outage of the configuration service, missing upstreams are
-  /// removed only after `LapseTimeout`.
+  /// Applies changes of the upstream list. Missing upstreams are removed once
+  /// the state is confirmed as of \p MayReturnUntil, or at once if it has
+  /// passed.
   void applyUpstreams(MonoTime Now, const std::vector<UpstreamChange> &Changes,
-                      bool MayReturn = false);
+                      MonoTime MayReturnUntil = {});
   /// Applies changes of the evacuated data halls. Their upstreams get no
   /// opening packets, retransmitted or retried ones included; open flows stay.
   void applyEvacuations(MonoTime Now,
--- a/src/gossip-confirmations.cc
+++ b/src/gossip-confirmations.cc
@@ -62,16 +62,24 @@
 
 void GossipNode::Impl::noteFailure(MonoTime Now, MonoTime At) {
   FailedAt_ = std::max(FailedAt_, At);
+  Outages_.recordReportedFailure(At);
   bool Fresher = FailedAt_ - AnnouncedFailureAt_ > AliveUpdateStep;
   if (Fresher && !Members_.tracksAllMembers())
     sendHeartbeats(Now);
 }
 
-/// Behind an impaired host, calls fail although the service works.
-void GossipNode::Impl::readFailed(MonoTime Now,
-                                  ConfigResponse::Outcome Reason) {
+/// A call that got no response shows nothing if this process was suspended
+/// meanwhile. Behind an impaired host, calls fail although the service works.
+void GossipNode::Impl::readFailed(MonoTime Now, ConfigResponse::Outcome Reason,
+                                  MonoTime SentAt) {
   IsReader_ = false;
-  if (Reason != ConfigResponse::Outcome::HistoryGone && !impaired())
+  bool Suspended = SentAt < RunningSince_ || Now - LastTick_ > SuspendThreshold;
+  bool NoEvidence = Reason == ConfigResponse::Outcome::HistoryGone ||
+                    (Reason == ConfigResponse::Outcome::Failed && Suspended);
+  if (NoEvidence)
+    return;
+  Outages_.recordOwnFailure(Now);
+  if (!impaired())
     noteFailure(Now, Now);
 }
 
@@ -80,6 +88,7 @@
                                const std::string &Peer, MonoTime SentAt) {
   if (AsOf <= ConfirmedAsOf_)
     return;
+  noteOutageEnd(Now, AsOf);
   ConfirmedAsOf_ = AsOf;
   Lag_.ConfirmedBy_ = Peer;
   Lag_.MaxTransit_ = Now - SentAt;
--- a/src/gossip-impl.h
+++ b/src/gossip-impl.h
@@ -9,6 +9,7 @@
 #define THYMEWALL_SRC_GOSSIP_IMPL_H
 
 #include "member-list.h"
+#include "outage-detector.h"
 #include "peer-choice.h"
 #include "peer-clock.h"
 #include "thymewall/gossip.h"
@@ -124,7 +125,8 @@
   bool readSucceeded(MonoTime Now, const ConfigResponse &Response,
                      MonoTime AsOf);
   void staleListRead(MonoTime Now, const ConfigResponse &Response);
-  void readFailed(MonoTime Now, ConfigResponse::Outcome Reason);
+  void readFailed(MonoTime Now, ConfigResponse::Outcome Reason,
+                  MonoTime SentAt);
   void listReadStarted(MonoTime Now);
   void warn(MonoTime Now, const UpstreamWarning &M);
   void setLeaving(MonoTime Now);
@@ -161,8 +163,9 @@
                       MonoTime ObservedAt, const LinkId *From);
   void notifyIfJoined(MonoTime Now, const PeerHeartbeat &M);
   bool apply(MonoTime Now, const RoutingTablePtr &Routing,
-             const UpstreamBatch &Upstreams,
-             const EvacuationBatch &Evacuations);
+             const UpstreamBatch &Upstreams, const EvacuationBatch &Evacuations,
+             MonoTime AsOf);
+  void noteOutageEnd(MonoTime Now, MonoTime AsOf);
   void applyEvacuations(const EvacuationBatch &Batch);
   void acceptConfirmation(MonoTime Now, MonoTime SentAt,
                           const PeerHeartbeat &M);
@@ -175,6 +178,8 @@
   std::vector<ServiceLoad> ownLoadLikePeers() const;
   Micros ownShareOf(Micros Range) const;
   MonoTime takeoverTime(MonoTime ConfirmedAt) const;
+  MonoTime turnAmongPeers(std::size_t Rank, MonoTime ConfirmedAt) const;
+  bool isIsolated() const;
   void noteFailure(MonoTime Now, MonoTime At);
   void confirm(MonoTime Now, MonoTime AsOf, const std::string &Peer,
                MonoTime SentAt);
@@ -248,6 +253,7 @@
   std::uint64_t AnnouncedReader_ = 0; ///< Last sent `FirstReader_`.
   MonoTime FailedAt_{};               ///< Latest failed call of any balancer.
   MonoTime AnnouncedFailureAt_{};     ///< Last sent `FailedAt_`.
+  detail::OutageDetector Outages_;
   MonoTime ConfirmedAsOf_{};
   MonoTime AnnouncedAsOf_{}; ///< Last sent `ConfirmedAsOf_`.
   StateLag Lag_;
@@ -257,7 +263,8 @@
   /// End of the pause after the first read.
   MonoTime ReadPauseUntil_{};
   MonoTime LastTick_{};
-  MonoTime RunningSince_{}; ///< Start, or end of the last suspension.
+  MonoTime LastReceivedAt_{}; ///< Last message on any link.
+  MonoTime RunningSince_{};   ///< Start, or end of the last suspension.
   MonoTime NextHeartbeatAt_{};
   MonoTime NextMembersAt_{};
   MonoTime NextRequestAt_{};
--- a/src/gossip-parts.cc
+++ b/src/gossip-parts.cc
@@ -54,7 +54,7 @@
   L.RequestedParts_.reset();
   if (!hasMissingParts(M.Parts_))
     return;
-  apply(Now, M.Routing_, M.Upstreams_, M.Evacuations_);
+  apply(Now, M.Routing_, M.Upstreams_, M.Evacuations_, MonoTime{});
   addParts(Now, M.Parts_);
   if (startsFromParts(L))
     requestParts(Now, Link);
--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -22,6 +22,7 @@
   auto Known = Links_.find(Link);
   if (Known == Links_.end())
     return;
+  LastReceivedAt_ = Now;
   Known->second.ExpiresAt_ = Now + LinkTimeout;
   std::visit([&](const auto &Typed) { handle(Now, Link, Typed); }, M);
 }
@@ -112,20 +113,23 @@
   if (M.Parts_.any())
     return handleParts(Now, Link, M);
   NextRequestAt_ = Now;
-  if (!apply(Now, M.Routing_, M.Upstreams_, M.Evacuations_)) {
+  // The response was made after the request was sent.
+  MonoTime AsOf{};
+  if (M.StateAgeMs_ != PeerHeartbeat::UnknownAgeMs)
+    AsOf = Request.SentAt_ - std::chrono::milliseconds(M.StateAgeMs_);
+  if (!apply(Now, M.Routing_, M.Upstreams_, M.Evacuations_, AsOf)) {
     ++Counters_.RevisionGaps_; // the next heartbeat triggers another request
     return;
   }
-  // The response was made after the request was sent.
-  if (M.StateAgeMs_ != PeerHeartbeat::UnknownAgeMs)
-    confirm(Now, Request.SentAt_ - std::chrono::milliseconds(M.StateAgeMs_),
-            Links_[Link].Peer_, Request.SentAt_);
+  confirm(Now, AsOf, Links_[Link].Peer_, Request.SentAt_);
   sendHeartbeats(Now);
 }
 
+/// \p AsOf is when the state was complete, or 0 if that is unknown.
 bool GossipNode::Impl::apply(MonoTime Now, const RoutingTablePtr &Routing,
                              const UpstreamBatch &Upstreams,
-                             const EvacuationBatch &Evacuations) {
+                             const EvacuationBatch &Evacuations,
+                             MonoTime AsOf) {
   if (Routing && (!Routing_ || Routing->Version_ > Routing_->Version_)) {
     Routing_ = Routing;
     Hooks_.OnRouting_(Routing_);
@@ -138,12 +142,18 @@
   // hall that the same update evacuates. They aren't applied if changes are
   // missing: upstreams of a hall whose evacuation ended may be cold again.
   applyEvacuations(Evacuations);
-  bool Outage = !First && Now - ConfirmedAsOf_ > OutageAge;
+  noteOutageEnd(Now, AsOf); // decides on missing upstreams
   if (First || !Changes.empty())
-    Hooks_.OnUpstreams_(Changes, Outage);
+    Hooks_.OnUpstreams_(Changes, Outages_.mayReturnUntil());
   return true;
 }
 
+void GossipNode::Impl::noteOutageEnd(MonoTime Now, MonoTime AsOf) {
+  std::optional<ServiceOutage> Outage = Outages_.recordConfirmation(Now, AsOf);
+  if (Outage && Hooks_.OnOutageEnded_)
+    Hooks_.OnOutageEnded_(*Outage);
+}
+
 void GossipNode::Impl::applyEvacuations(const EvacuationBatch &Batch) {
   std::vector<EvacuationChange> Changes;
   Evacuations_.apply(Batch, Changes);
@@ -156,7 +166,7 @@
   ListParts Parts = Response.Parts_.value_or(allParts());
   bool Missing = hasMissingParts(Parts);
   apply(Now, Response.Routing_, Missing ? Response.Batch_ : UpstreamBatch{},
-        Response.Evacuations_);
+        Response.Evacuations_, MonoTime{});
   addParts(Now, Parts);
 }
 
@@ -164,7 +174,8 @@
                                      const ConfigResponse &Response,
                                      MonoTime AsOf) {
   Revision Before = List_.through();
-  if (!apply(Now, Response.Routing_, Response.Batch_, Response.Evacuations_))
+  if (!apply(Now, Response.Routing_, Response.Batch_, Response.Evacuations_,
+             AsOf))
     return false;
   // Otherwise balancers that start together all keep reading until they hear of
   // a reader with a lower score.
@@ -203,29 +214,44 @@
 }
 
 /// Returns when to read if the state or the reader was last confirmed at
-/// \p ConfirmedAt. The rank counts while a balancer with a lower score is
-/// alive. In a network partition without one, members read within a bound that
-/// doesn't depend on their ranks.
+/// \p ConfirmedAt.
 MonoTime GossipNode::Impl::takeoverTime(MonoTime ConfirmedAt) const {
   std::size_t Rank = Members_.rankOf(Score_);
   if (Rank == 0 && !impaired())
     return ConfirmedAsOf_;
+  // Without peers, neither the rank nor the impairment leaves a read to others.
+  return isIsolated() ? ConfirmedAsOf_ + TakeoverAge
+                      : turnAmongPeers(Rank, ConfirmedAt);
+}
+
+/// Whether no peer was heard at the last tick, be it that all have failed or
+/// that the network separates them from this balancer.
+bool GossipNode::Impl::isIsolated() const {
+  MonoTime HeardAt = std::max(LastReceivedAt_, RunningSince_);
+  Micros Allowed = Members_.tracksAllMembers() ? detail::MemberList::AliveWithin
+                                               : IsolationTimeout;
+  return Links_.empty() || LastTick_ - HeardAt >= Allowed;
+}
+
+/// The rank counts while a balancer with a lower score is alive. In a network
+/// partition without one, members read within a bound that doesn't depend on
+/// their ranks.
+MonoTime GossipNode::Impl::turnAmongPeers(std::size_t Rank,
+                                          MonoTime ConfirmedAt) const {
   MonoTime From =
       ConfirmedAt + TakeoverAge + (impaired() ? ImpairedReadDelay : Micros(0));
-  if (Links_.empty())
-    return From;
   bool FirstInPartition =
       FirstAlive_.Score_ >= Score_ && !Members_.tracksAllMembers();
   if (FirstInPartition)
     return std::max(From, FirstAliveSince_ + ownShareOf(PartitionJitter));
   MonoTime InTurn = From + TakeoverStep * static_cast<Micros::rep>(Rank);
-  MonoTime Latest =
-      From + TakeoverStep * static_cast<Micros::rep>(MaxTakeoverSteps);
-  if (!Members_.tracksAllMembers()) {
-    Latest += ownShareOf(TakeoverSpread);
-    if (FailedAt_ > FirstReader_.At_)
-      Latest = std::max(Latest, FailedAt_ + FailureLifetime);
-  }
+  constexpr Micros AllSteps =
+      TakeoverStep * static_cast<Micros::rep>(MaxTakeoverSteps);
+  if (Members_.tracksAllMembers())
+    return std::min(InTurn, ConfirmedAsOf_ + TakeoverAge + AllSteps);
+  MonoTime Latest = From + AllSteps + ownShareOf(TakeoverSpread);
+  if (FailedAt_ > FirstReader_.At_)
+    Latest = std::max(Latest, FailedAt_ + FailureLifetime);
   return std::min(InTurn, Latest);
 }
 
@@ -263,8 +289,9 @@
 void GossipNode::warn(MonoTime Now, const UpstreamWarning &M) {
   Impl_->warn(Now, M);
 }
-void GossipNode::readFailed(MonoTime Now, ConfigResponse::Outcome Reason) {
-  Impl_->readFailed(Now, Reason);
+void GossipNode::readFailed(MonoTime Now, ConfigResponse::Outcome Reason,
+                            MonoTime SentAt) {
+  Impl_->readFailed(Now, Reason, SentAt);
 }
 void GossipNode::listReadStarted(MonoTime Now) { Impl_->listReadStarted(Now); }
 void GossipNode::staleListRead(MonoTime Now, const ConfigResponse &Response) {
--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -56,7 +56,7 @@
   Verdict retryOpening(MonoTime Now, const Packet &P);
   void setRouting(RoutingTablePtr Table);
   void applyUpstreams(MonoTime Now, const std::vector<UpstreamChange> &Changes,
-                      bool MayReturn);
+                      MonoTime MayReturnUntil);
   void applyEvacuations(MonoTime Now,
                         const std::vector<EvacuationChange> &Changes);
   void onCheckResult(MonoTime Now, Incarnation Upstream, CheckResult Result,
@@ -280,7 +280,7 @@
   void subtractLoad(const detail::PacketFlowRow &Row);
   void addOrUpdate(const UpstreamChange &Change);
   void addEnded(const UpstreamChange &Change);
-  void removeUpstream(const UpstreamChange &Change, bool MayReturn);
+  void removeUpstream(const UpstreamChange &Change, MonoTime MayReturnUntil);
   void setGone(std::uint32_t Index);
   void expireUpstreams();
   void forgetUpstream(std::uint32_t Index);
--- a/src/packet-balancer-interface.cc
+++ b/src/packet-balancer-interface.cc
@@ -22,8 +22,8 @@
 }
 void PacketBalancer::applyUpstreams(MonoTime Now,
                                     const std::vector<UpstreamChange> &Changes,
-                                    bool MayReturn) {
-  Impl_->applyUpstreams(Now, Changes, MayReturn);
+                                    MonoTime MayReturnUntil) {
+  Impl_->applyUpstreams(Now, Changes, MayReturnUntil);
   Impl_->reviewAdmission();
 }
 void PacketBalancer::applyEvacuations(
--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -8,7 +8,8 @@
 using detail::PacketFlowRow;
 
 void PacketBalancer::Impl::applyUpstreams(
-    MonoTime Now, const std::vector<UpstreamChange> &Changes, bool MayReturn) {
+    MonoTime Now, const std::vector<UpstreamChange> &Changes,
+    MonoTime MayReturnUntil) {
   Now_ = Now;
   UpstreamsKnown_ = true;
   BulkUpdate_ = Changes.size() > MaxIndividualEvents;
@@ -18,7 +19,7 @@
     else if (Change.Entry_)
       addOrUpdate(Change);
     else
-      removeUpstream(Change, MayReturn);
+      removeUpstream(Change, MayReturnUntil);
   }
   BulkUpdate_ = false;
 }
@@ -149,16 +150,16 @@
 }
 
 void PacketBalancer::Impl::removeUpstream(const UpstreamChange &Change,
-                                          bool MayReturn) {
+                                          MonoTime MayReturnUntil) {
   std::uint32_t Index = indexOf(Change.Incarnation_);
   if (Index == UpstreamTable::None || UpstreamStates_[Index].Gone_)
     return;
   UpstreamState &State = UpstreamStates_[Index];
   State.Revision_ = Change.Revision_;
-  if (!MayReturn)
+  if (MayReturnUntil <= Now_)
     return setGone(Index);
   State.Lapsed_ = true;
-  State.LapsedUntil_ = Now_ + LapseTimeout;
+  State.LapsedUntil_ = MayReturnUntil;
   reportEvent(UpstreamEvent::Kind::Lapsed, Index);
 }
 
@@ -173,12 +174,12 @@
   endReplacedUpstreams(Upstreams_[Index].Address_);
 }
 
-/// Removes lapsed upstreams after their grace period and releases the rows of
-/// gone ones.
+/// Removes lapsed upstreams that are still missing from a list read after their
+/// grace period, and releases the rows of gone ones.
 void PacketBalancer::Impl::expireUpstreams() {
   for (std::uint32_t Index = 0; Index < UpstreamStates_.size(); ++Index) {
     UpstreamState &State = UpstreamStates_[Index];
-    if (State.Lapsed_ && State.LapsedUntil_ <= Now_)
+    if (State.Lapsed_ && State.LapsedUntil_ <= ConfirmedAsOf_)
       setGone(Index);
     bool Unused = Upstreams_[Index].OwnFlows_ == 0;
     if (State.Gone_ && State.ReleaseAt_ <= Now_ && Unused)
--- a/src/packet-log.cc
+++ b/src/packet-log.cc
@@ -205,6 +205,14 @@
   logRateLimited(IsBehind ? "state_behind" : "state_caught_up", Fields);
 }
 
+void logServiceOutage(const ServiceOutage &Outage) {
+  bool Own = Outage.Evidence_ == ServiceOutage::Evidence::OwnCalls;
+  logState("configuration_service_outage_ended",
+           {{"unconfirmed_ms",
+             millis(Outage.ConfirmedAt_ - Outage.LastConfirmedAt_)},
+            {"evidence", Own ? "own_calls" : "peer_reports"}});
+}
+
 void logRouting(const RoutingTable &Table) {
   logRateLimited("routing_in_force",
                  {{"version", Table.Version_},
--- a/src/packet-log.h
+++ b/src/packet-log.h
@@ -29,6 +29,8 @@
 void logStateLag(const StateLag &Lag, bool IsBehind, Revision Through,
                  Micros StateAge);
 void logRouting(const RoutingTable &Table);
+/// Logs that an outage of the configuration service has ended.
+void logServiceOutage(const ServiceOutage &Outage);
 
 void logHostImpaired(const HostHealth &Health);
 void logStepBack(StepBack::Change Change, const HostHealth &Health,
--- a/src/packet-process-gossip.cc
+++ b/src/packet-process-gossip.cc
@@ -33,7 +33,7 @@
   if (Stale)
     Gossip_.staleListRead(Now, Response);
   else if (!Done)
-    Gossip_.readFailed(Now, Response.Outcome_);
+    Gossip_.readFailed(Now, Response.Outcome_, ConfigReader_.sentAt());
   else if (!Gossip_.readSucceeded(Now, Response, ConfigReader_.completeAt()))
     ConfigReader_.requestList();
   runDueWork();
@@ -113,13 +113,14 @@
     Core_.setRouting(monoNow(), Table);
   };
   Hooks.OnUpstreams_ = [this](const std::vector<UpstreamChange> &Changes,
-                              bool MayReturn) {
+                              MonoTime MayReturnUntil) {
     if (Changes.size() > PacketBalancer::MaxIndividualEvents)
       logUpstreamSummary(Changes, Gossip_.through());
-    Core_.applyUpstreams(monoNow(), Changes, MayReturn);
+    Core_.applyUpstreams(monoNow(), Changes, MayReturnUntil);
     if (ReadyLogged_)
       releaseHeldPackets();
   };
+  Hooks.OnOutageEnded_ = logServiceOutage;
   Hooks.OnEvacuations_ = [this](const std::vector<EvacuationChange> &Changes) {
     Core_.applyEvacuations(monoNow(), Changes);
     std::for_each(Changes.begin(), Changes.end(), logEvacuation);
--- a/test/ended-answers-test.cc
+++ b/test/ended-answers-test.cc
@@ -58,7 +58,7 @@
     Hooks.Connect_ = [](const Endpoint &) {};
     Hooks.Close_ = [](LinkId) {};
     Hooks.OnRouting_ = [](const RoutingTablePtr &) {};
-    Hooks.OnUpstreams_ = [](const std::vector<UpstreamChange> &, bool) {};
+    Hooks.OnUpstreams_ = [](const std::vector<UpstreamChange> &, MonoTime) {};
     Hooks.OnConfirmed_ = [](MonoTime) {};
     Hooks.OnWarning_ = [](const UpstreamWarning &) {};
     return Hooks;
--- a/test/flow-fleet.cc
+++ b/test/flow-fleet.cc
@@ -37,9 +37,9 @@
   };
   Hooks.OnUpstreams_ = [this](std::size_t Which,
                               const MemberHooks::Upstreams &Changes,
-                              bool MayReturn) {
+                              MonoTime MayReturnUntil) {
     Balancers_[Which].Core_->applyUpstreams(Gossip_->clock(), Changes,
-                                            MayReturn);
+                                            MayReturnUntil);
   };
   Hooks.OnConfirmed_ = [this](std::size_t Which, MonoTime AsOf) {
     Balancers_[Which].Core_->confirmUpTo(AsOf);
--- a/test/gossip-fleet.cc
+++ b/test/gossip-fleet.cc
@@ -183,8 +183,8 @@
       MemberHooks_.OnRouting_(Which, Table);
   };
   Hooks.OnUpstreams_ = [this, Which](const std::vector<UpstreamChange> &Changes,
-                                     bool MayReturn) {
-    Nodes_[Which].MayReturn_ = MayReturn;
+                                     MonoTime MayReturnUntil) {
+    Nodes_[Which].MayReturn_ = MayReturnUntil > Events_.now();
     for (const UpstreamChange &Change : Changes) {
       if (Change.Entry_ && !Change.Ended_)
         Nodes_[Which].Listed_.insert(Change.Incarnation_);
@@ -192,7 +192,7 @@
         Nodes_[Which].Listed_.erase(Change.Incarnation_);
     }
     if (MemberHooks_.OnUpstreams_)
-      MemberHooks_.OnUpstreams_(Which, Changes, MayReturn);
+      MemberHooks_.OnUpstreams_(Which, Changes, MayReturnUntil);
   };
   Hooks.OnEvacuations_ = [this,
                           Which](const std::vector<EvacuationChange> &Changes) {
@@ -449,7 +449,8 @@
   if (Response.Outcome_ == ConfigResponse::Outcome::Stale)
     N.Gossip_->staleListRead(Events_.now(), Response);
   else if (Response.Outcome_ != ConfigResponse::Outcome::Done)
-    N.Gossip_->readFailed(Events_.now(), Response.Outcome_);
+    N.Gossip_->readFailed(Events_.now(), Response.Outcome_,
+                          N.Reader_->sentAt());
   else if (!N.Gossip_->readSucceeded(Events_.now(), Response,
                                      N.Reader_->completeAt()))
     N.Reader_->requestList();
--- a/test/gossip-fleet.h
+++ b/test/gossip-fleet.h
@@ -20,7 +20,8 @@
   std::function<void(std::size_t Which)> OnStart_;
   std::function<void(std::size_t Which)> OnTick_;
   std::function<void(std::size_t Which, const RoutingTablePtr &)> OnRouting_;
-  std::function<void(std::size_t Which, const Upstreams &, bool MayReturn)>
+  std::function<void(std::size_t Which, const Upstreams &,
+                     MonoTime MayReturnUntil)>
       OnUpstreams_;
   std::function<void(std::size_t Which, const std::vector<EvacuationChange> &)>
       OnEvacuations_;
@@ -35,6 +36,9 @@
 
   /// Runs until the virtual time \p Until since the start.
   void run(Micros Until) { Events_.run(Until); }
+  void after(Micros Delay, std::function<void()> Task) {
+    Events_.after(Delay, std::move(Task));
+  }
   /// Publishes the start of an upstream, or the end of the last one, in turn.
   /// Returns its revision.
   Revision publish();
--- a/test/gossip-health-test.cc
+++ b/test/gossip-health-test.cc
@@ -77,7 +77,7 @@
       Events_.after(LinkDelay, [this, Which, Link] { close(Which, Link); });
     };
     Hooks.OnRouting_ = [](const RoutingTablePtr &) {};
-    Hooks.OnUpstreams_ = [](const std::vector<UpstreamChange> &, bool) {};
+    Hooks.OnUpstreams_ = [](const std::vector<UpstreamChange> &, MonoTime) {};
     Hooks.OnConfirmed_ = [](MonoTime) {};
     Hooks.OnWarning_ = [](const UpstreamWarning &) {};
     return Hooks;
--- a/test/gossip-lag-test.cc
+++ b/test/gossip-lag-test.cc
@@ -19,7 +19,7 @@
     Hooks.Connect_ = [](const Endpoint &) {};
     Hooks.Close_ = [](LinkId) {};
     Hooks.OnRouting_ = [](const RoutingTablePtr &) {};
-    Hooks.OnUpstreams_ = [](const auto &, bool) {};
+    Hooks.OnUpstreams_ = [](const auto &, MonoTime) {};
     Hooks.OnConfirmed_ = [](MonoTime) {};
     Hooks.OnWarning_ = [](const UpstreamWarning &) {};
     Hooks.OnLag_ = [this](const StateLag &Lag, bool IsBehind) {
--- a/test/gossip-test.cc
+++ b/test/gossip-test.cc
@@ -125,6 +125,7 @@
   CHECK(Fleet.allKnow(R));
   for (std::size_t I = 0; I < 8; ++I)
     CHECK(Fleet.mayReturn(I));
+  Fleet.run(15s); // upstreams may return for two seconds
   propagationTime(Fleet, 3s);
   for (std::size_t I = 0; I < 8; ++I)
     CHECK_FALSE(Fleet.mayReturn(I));
--- /dev/null
+++ b/test/outage-detector-test.cc
@@ -0,0 +1,89 @@
+/// \file
+/// Which gaps between confirmations of the state are outages of the
+/// configuration service.
+#include "outage-detector.h"
+
+#include <doctest/doctest.h>
+
+using namespace thymewall;
+using namespace std::chrono_literals;
+using detail::OutageDetector;
+using Evidence = ServiceOutage::Evidence;
+
+namespace {
+
+MonoTime at(Micros Time) { return MonoTime(100s + Time); }
+
+/// A detector whose state was last confirmed as of 0 s.
+OutageDetector confirmedDetector() {
+  OutageDetector Detector;
+  Detector.recordConfirmation(at(0s), at(0s));
+  return Detector;
+}
+
+} // namespace
+
+TEST_CASE("a late read without failed calls ends no outage") {
+  for (Micros Age : {Micros(1s), Micros(2600ms), Micros(10s), Micros(1h)}) {
+    OutageDetector Detector = confirmedDetector();
+    CHECK_FALSE(Detector.recordConfirmation(at(Age), at(Age)));
+    CHECK(Detector.mayReturnUntil() <= at(Age));
+  }
+}
+
+TEST_CASE("the first confirmation after a start ends no outage") {
+  OutageDetector Detector;
+  Detector.recordOwnFailure(at(1s));
+  Detector.recordReportedFailure(at(1s));
+  CHECK_FALSE(Detector.recordConfirmation(at(9s), at(9s)));
+}
+
+TEST_CASE("failed calls of this balancer in a gap are an outage") {
+  OutageDetector Detector = confirmedDetector();
+  Detector.recordOwnFailure(at(1600ms));
+  CHECK(Detector.recordConfirmation(at(1800ms), at(1700ms)) ==
+        ServiceOutage{at(0s), at(1700ms), Evidence::OwnCalls});
+  CHECK(Detector.mayReturnUntil() ==
+        at(1800ms) + OutageDetector::ReturnTimeout);
+  // The next confirmations leave the end of the grace period as it is.
+  CHECK_FALSE(Detector.recordConfirmation(at(5s), at(5s)));
+  CHECK(Detector.mayReturnUntil() ==
+        at(1800ms) + OutageDetector::ReturnTimeout);
+}
+
+TEST_CASE("calls that failed before the last confirmation are no evidence") {
+  OutageDetector Detector;
+  Detector.recordOwnFailure(at(0s));
+  Detector.recordReportedFailure(at(0s));
+  Detector.recordConfirmation(at(1s), at(1s));
+  CHECK_FALSE(Detector.recordConfirmation(at(5s), at(5s)));
+}
+
+TEST_CASE("an outage that no entry can have lapsed in leaves upstreams gone") {
+  OutageDetector Detector = confirmedDetector();
+  Detector.recordOwnFailure(at(500ms));
+  CHECK_FALSE(Detector.recordConfirmation(at(1400ms), at(1400ms)));
+}
+
+TEST_CASE("calls that only other balancers report as failed are an outage once "
+          "this one would have called as well") {
+  for (bool Late : {false, true}) {
+    OutageDetector Detector = confirmedDetector();
+    Detector.recordReportedFailure(at(1s));
+    MonoTime AsOf = at(GossipNode::OutageAge + (Late ? 10ms : -10ms));
+    std::optional<ServiceOutage> Outage =
+        Detector.recordConfirmation(AsOf, AsOf);
+    REQUIRE(Outage.has_value() == Late);
+    if (Outage)
+      CHECK(Outage->Evidence_ == Evidence::PeerReports);
+  }
+}
+
+TEST_CASE("a relayed confirmation that is older than the failed calls ends no "
+          "outage") {
+  OutageDetector Detector = confirmedDetector();
+  Detector.recordOwnFailure(at(2s));
+  // A peer had newer state when the outage began, and tells only now.
+  CHECK_FALSE(Detector.recordConfirmation(at(4s), at(400ms)));
+  CHECK(Detector.recordConfirmation(at(6s), at(6s)));
+}
--- a/test/packet-balancer-test.cc
+++ b/test/packet-balancer-test.cc
@@ -176,11 +176,13 @@
         return true;
     return false;
   };
-  B.applyUpstreams(at(0ms), {removedUpstream(1), removedUpstream(2)}, true);
+  B.applyUpstreams(at(0ms), {removedUpstream(1), removedUpstream(2)}, at(2s));
   CHECK(ReceivesFlows(1500ms));
   B.applyUpstreams(at(1600ms), {publishedUpstream(2, IndexService)});
-  for (auto Time = 250ms; Time < 2500ms; Time += 250ms)
+  for (auto Time = 250ms; Time < 2500ms; Time += 250ms) {
+    B.confirmUpTo(at(Time));
     B.tick(at(Time));
+  }
   CHECK_FALSE(ReceivesFlows(2500ms));
   CHECK(upstreamOf(B.steer(at(2500ms), flowPacket(1000, 2, 1))) == 2);
   PacketStatus S = B.status(at(2500ms));
@@ -189,6 +191,23 @@
           std::string_view(raw(U.Incarnation_) == 1 ? "gone" : ""));
 }
 
+TEST_CASE("an upstream that is missing after an outage is not removed before "
+          "the list has been read again") {
+  PacketBalancer B = makeBalancer();
+  B.applyUpstreams(at(0ms), {removedUpstream(1)}, at(2s));
+  auto IsGone = [&B](std::chrono::milliseconds Time) {
+    B.tick(at(Time));
+    for (const UpstreamStatus &U : B.status(at(Time)).Upstreams_)
+      if (U.Incarnation_ == Incarnation{1})
+        return U.ExclusionReason_ == "gone";
+    return true;
+  };
+  B.confirmUpTo(at(1900ms)); // it may have returned since
+  CHECK_FALSE(IsGone(2250ms));
+  B.confirmUpTo(at(2s));
+  CHECK(IsGone(2500ms));
+}
+
 TEST_CASE("packets of a removed upstream keep its incarnation after another "
           "one takes over its address") {
   PacketBalancer B = makeBalancer();
@@ -341,7 +360,8 @@
         break;
       case 5:
         B.applyUpstreams(at(Now), {removedUpstream(Id)},
-                         *rc::gen::arbitrary<bool>());
+                         *rc::gen::arbitrary<bool>() ? at(Now + 2s)
+                                                     : MonoTime{});
         break;
       case 6:
         B.tick(at(Now));
--- a/test/parts-exchange-test.cc
+++ b/test/parts-exchange-test.cc
@@ -82,7 +82,7 @@
     Hooks.Close_ = [](LinkId) {};
     Hooks.OnRouting_ = [](const RoutingTablePtr &) {};
     Hooks.OnUpstreams_ = [this](const std::vector<UpstreamChange> &Changes,
-                                bool) {
+                                MonoTime) {
       for (const UpstreamChange &Change : Changes)
         if (Change.Entry_)
           Listed_.insert(raw(Change.Incarnation_));
--- a/test/reader-takeover-test.cc
+++ b/test/reader-takeover-test.cc
@@ -84,7 +84,7 @@
     Hooks.Connect_ = [](const Endpoint &) {};
     Hooks.Close_ = [](LinkId) {};
     Hooks.OnRouting_ = [](const RoutingTablePtr &) {};
-    Hooks.OnUpstreams_ = [](const auto &, bool) {};
+    Hooks.OnUpstreams_ = [](const auto &, MonoTime) {};
     Hooks.OnConfirmed_ = [](MonoTime) {};
     Hooks.OnWarning_ = [](const UpstreamWarning &) {};
     return Hooks;
