--- a/test/local-health-test.cc
+++ b/test/local-health-test.cc
@@ -1,6 +1,7 @@
 /// \file
 /// Health of the own host, judged by round trips to peers and tick delays.
 #include "thymewall/local-health.h"
+#include "thymewall/step-back.h"
 
 #include <doctest/doctest.h>
 #include <functional>
@@ -186,3 +187,20 @@
   CHECK(H.Health_.health().Peers_ == 3);
   CHECK(H.impairment() == 0);
 }
+
+TEST_CASE("a balancer whose peers all fall silent does not step back" *
+          doctest::may_fail()) {
+  Host H({2ms, 2ms, 2ms});
+  H.run(3s);
+  H.setRoundTrips({-1ms, -1ms, -1ms});
+  HallView Hall{1, {{2, 0, true, 0s}, {3, 0, true, 0s}}, 12};
+  StepBack Decision;
+  for (Micros Time = 0s; Time < 5s; Time += TickInterval) {
+    CAPTURE(Time.count());
+    H.run(TickInterval);
+    for (HallMember &M : Hall.Members_)
+      M.Age_ += TickInterval;
+    Decision.update(H.Now_, static_cast<std::uint8_t>(H.impairment()), Hall);
+    CHECK_FALSE(Decision.isSteppedBack());
+  }
+}
