A persistent connection closed by the server is no failed call

What callers would see: a balancer that takes over the reading after a power loss sends its first call on a connection that has been idle since its start.

Change: the client sends a request once more, on a new connection, if the persistent one fails before any byte of the response. All its requests are GET. The deadline stays. A failure on a new connection is reported as before.

The new test failed before: the second request failed, with 2 connections instead of 4.

--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -39,7 +39,8 @@
     ++RequestId_;
     FailAt_ = Deadline;
     armTimer();
-    if (Socket_.is_open())
+    IsReused_ = Socket_.is_open();
+    if (IsReused_)
       send();
     else
       connect();
@@ -62,7 +63,7 @@
       if (Self->RequestId_ != RequestId)
         return;
       if (Error)
-        Self->fail(Error.message());
+        Self->connectionFailed(Error.message());
       else
         Then(*Self, Rest...);
     };
@@ -112,6 +113,7 @@
   }
 
   void parse(std::size_t Size) {
+    IsReused_ = false;
     FailAt_ =
         std::max(FailAt_, std::chrono::steady_clock::now() + ReadIdleTimeout);
     Unparsed_.append(Buffer_.data(), Size);
@@ -144,6 +146,17 @@
     Done(std::move(Response), "");
   }
 
+  /// A server may close a persistent connection at any time, which says nothing
+  /// about whether it answers. The request is sent once more on a new one.
+  void connectionFailed(const std::string &Reason) {
+    if (!IsReused_)
+      return fail(Reason);
+    IsReused_ = false;
+    asio::error_code Ignored;
+    Socket_.close(Ignored);
+    connect();
+  }
+
   void fail(const std::string &Reason) {
     Handler Done = std::move(OnResponse_);
     endRequest(true);
@@ -168,6 +181,8 @@
   std::optional<Parser> Parser_;
   std::array<char, ReadBufferBytes> Buffer_{};
   Handler OnResponse_;
+  /// The connection served an earlier request and has not answered this one.
+  bool IsReused_ = false;
   std::uint64_t RequestId_ = 0; ///< Changes when a request starts or ends.
 };
 
--- a/src/http-client.h
+++ b/src/http-client.h
@@ -31,7 +31,8 @@
   /// Sends a GET request and later calls \p OnResponse once, never before this
   /// function returns. The response must begin by \p Deadline and then arrive
   /// without a long pause. The previous request must have completed. The next
-  /// request after a failure opens a new connection.
+  /// request after a failure opens a new connection, and so does a request
+  /// whose persistent connection the server closes before it answers.
   void get(const std::string &Target,
            std::chrono::steady_clock::time_point Deadline, Handler OnResponse);
 
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -208,6 +208,16 @@
   CHECK(Server.connections() == 1);
 }
 
+TEST_CASE("a persistent connection that the server has closed is no failure of "
+          "the server") {
+  asio::io_context Context;
+  ScriptedServer Server(Context, {ok("a"), "", ok("b"), "", "", ok("c")});
+  // The third request fails on the new connection, too.
+  CHECK(sendRequests(Context, Server.at(), 4) ==
+        Strings{"200 a", "200 b", "failed", "200 c"});
+  CHECK(Server.connections() == 4);
+}
+
 TEST_CASE("a response with an error status is not a failure") {
   asio::io_context Context;
   ScriptedServer Server(
