--- a/test/service-outage-test.cc
+++ b/test/service-outage-test.cc
@@ -2,10 +2,10 @@
 /// What balancers take for an outage of the configuration service: upstreams
 /// that are missing after one may return and stay in use for a while, all
 /// others are gone.
-#include "peer-choice.h"
 #include "survivor-fleet.h"
 
 #include <doctest/doctest.h>
+#include <set>
 
 using namespace thymewall;
 using namespace thymewall::test;
--- a/test/survivor-fleet.cc
+++ b/test/survivor-fleet.cc
@@ -23,6 +23,11 @@
       Fleet.setBlocked(Which, Other, true);
 }
 
+void losePower(GossipFleet &Fleet, std::size_t Which) {
+  block(Fleet, Which);
+  Fleet.setSuspended(Which, true);
+}
+
 std::vector<std::size_t> byRank(std::size_t Count) {
   std::vector<std::size_t> Order(Count);
   std::iota(Order.begin(), Order.end(), 0);
@@ -38,17 +43,8 @@
 
 const std::vector<Silencing> &silencings() {
   static const std::vector<Silencing> All = {
-      {"power loss",
-       [](GossipFleet &F, std::size_t Which) {
-         block(F, Which);
-         F.setSuspended(Which, true);
-       }},
-      {"power losses 100 ms apart",
-       [](GossipFleet &F, std::size_t Which) {
-         block(F, Which);
-         F.setSuspended(Which, true);
-       },
-       100ms},
+      {"power loss", losePower},
+      {"power losses 100 ms apart", losePower, 100ms},
       {"suspension",
        [](GossipFleet &F, std::size_t Which) { F.setSuspended(Which, true); }},
       {"network partition",
@@ -101,7 +97,7 @@
 }
 
 bool SurvivorFleet::opensFlowsTo(Incarnation Which, std::size_t Balancer) {
-  // With two upstreams, all openings miss one by chance only if it gets few.
+  // So many that all miss one of two upstreams only if it gets no flows.
   constexpr int Openings = 16;
   for (int I = 0; I < Openings; ++I)
     if (upstreamOf(Cores_[Balancer]->steer(
