--- a/review/world2.py
+++ b/review/world2.py
@@ -257,6 +257,7 @@
         self.capacity, self.work_s, self.max_conns = capacity, work_s, max_conns
         self.half = {}  # (client, sport, dst, dport): (own seq, SYN facts)
         self.flows = {}  # key: state
+        self.flows_ever = {}  # key: when the flow ended here
         self.busy, self.queue = 0, []
         self.opened = []  # (SYN arrived at, machine, key)
         self.state = "ready"
@@ -304,13 +305,17 @@
                 flow = {"seq": seq + 1, "next": None, "echo": p.echo,
                         "via": via, "answers": {}}
                 self.flows[key] = flow
+                self.flows_ever[key] = float("inf")
                 self.opened.append((arrived, via, key))
                 self.world.on_opened(self, key, arrived, via)
         if flow is None:
             if not p.flags & RST:
                 self._send(key, RST, 0, p.ack, 0)
+                self.world.endpoint_resets.append((time.monotonic(), self, key))
             return
         flow["echo"] = p.echo
+        if p.flags & (RST | FIN):
+            self.flows_ever[key] = time.monotonic()
         if p.flags & RST:
             del self.flows[key]
             return
@@ -557,6 +562,7 @@
         self.client_sockets, self.ports = {}, {}
         self.zone_of_client = {h: z for z, h in self.client_hosts.items()}
         self.openings, self.runs, self.own_resets = [], [], []
+        self.endpoint_resets = []  # (time, endpoint, key)
         self.sent = self.answers = 0
         self.config_version = 0
         self.tasks = []
