Review case 8: a key with a space keeps every restarted balancer without a list

The key is not encoded in the request for the next page; after a kill of all processes no machine becomes ready.

--- a/review/world2.py
+++ b/review/world2.py
@@ -118,6 +118,7 @@
         self.changed = asyncio.Event()
         self.connections = []  # _Connection
         self.calls = {}  # machine: calls
+        self.malformed = []  # (time, machine, request line)
         self.last_watch = None  # machine whose watch was answered last
 
     async def listen(self, machine, host, port):
@@ -178,9 +179,13 @@
                     await reader.read()  # until the peer closes it
                     return
                 c["busy"] = True
-                target = head.split(b" ")[1].decode()
                 self.calls[machine] = self.calls.get(machine, 0) + 1
-                status, body = await self._answer(machine, target)
+                line = head.split(b"\r\n")[0].split(b" ")
+                if len(line) != 3:  # not a request line of HTTP/1.1
+                    self.malformed.append((time.monotonic(), machine, head.split(b"\r\n")[0]))
+                    status, body = 400, {}
+                else:
+                    status, body = await self._answer(machine, line[1].decode())
                 if c["silent"]:
                     await reader.read()
                     return
