Percent-encode what another party wrote before it goes into a request

Cause: the client put the last key of a page into the next request as it was. "after=servers/other entry 0" makes a request line of four words, which the store answers with 400; other characters make it read another key, so that the list ends early, skips or repeats.

Ruled out: the size of the entries (the same ones without a space in the key are read), the values (an entry that can't be decoded is left out).

Change: a request is a path and a list of parameters, and the HTTP client encodes them with Boost.URL when it sends them. No caller can pass a target as text any more, so a future parameter is encoded too. Slashes stay as they are, so that requests with plain keys are the same bytes as before.

Compared with encoding at the one call that appends a key: the same bytes on the wire, but the next value that is added would be plain again.

--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -9,6 +9,8 @@
 #include <asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
 
 namespace thymewall::detail {
 
@@ -24,18 +26,34 @@
 /// slow but steady transfer of a long list is not aborted and repeated.
 constexpr auto ReadIdleTimeout = std::chrono::milliseconds(1000);
 
+/// Characters that need no encoding in a path or in a parameter. Encoding more
+/// than necessary is always valid.
+constexpr auto PlainChars = boost::urls::unreserved_chars + '/';
+
 } // namespace
 
+std::string encodeTarget(const HttpRequest &Request) {
+  std::string Target = boost::urls::encode(Request.Path_, PlainChars);
+  char Separator = '?';
+  for (const auto &[Name, Value] : Request.Query_) {
+    Target += Separator + boost::urls::encode(Name, PlainChars) + '=' +
+              boost::urls::encode(Value, PlainChars);
+    Separator = '&';
+  }
+  return Target;
+}
+
 class HttpClient::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(asio::io_context &Context, const Endpoint &Server)
       : Socket_(Context), Timer_(Context), Server_(toAsio(Server)),
         Host_(formatEndpoint(Server)) {}
 
-  void get(const std::string &Target,
+  void get(const HttpRequest &Request,
            std::chrono::steady_clock::time_point Deadline, Handler OnResponse) {
     OnResponse_ = std::move(OnResponse);
-    Request_ = "GET " + Target + " HTTP/1.1\r\nHost: " + Host_ + "\r\n\r\n";
+    Request_ = "GET " + encodeTarget(Request) + " HTTP/1.1\r\nHost: " + Host_ +
+               "\r\n\r\n";
     ++RequestId_;
     FailAt_ = Deadline;
     armTimer();
@@ -189,10 +207,10 @@
 HttpClient::HttpClient(asio::io_context &Context, const Endpoint &Server)
     : Impl_(std::make_shared<Impl>(Context, Server)) {}
 HttpClient::~HttpClient() { Impl_->close(); }
-void HttpClient::get(const std::string &Target,
+void HttpClient::get(const HttpRequest &Request,
                      std::chrono::steady_clock::time_point Deadline,
                      Handler OnResponse) {
-  Impl_->get(Target, Deadline, std::move(OnResponse));
+  Impl_->get(Request, Deadline, std::move(OnResponse));
 }
 
 } // namespace thymewall::detail
--- a/src/http-client.h
+++ b/src/http-client.h
@@ -10,9 +10,24 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 namespace thymewall::detail {
 
+/// A GET request. The path and the parameters may contain any bytes; they are
+/// percent-encoded when the request is sent.
+struct HttpRequest {
+  std::string Path_;
+  /// Names and values of the query's parameters.
+  std::vector<std::pair<std::string, std::string>> Query_;
+};
+
+/// Returns the request target as it is sent. A server that decodes it gets the
+/// bytes of the path and of each parameter unchanged.
+std::string encodeTarget(const HttpRequest &Request);
+
 struct HttpResponse {
   unsigned Status_ = 0;
   std::string Body_;
@@ -28,12 +43,12 @@
   HttpClient(asio::io_context &Context, const Endpoint &Server);
   ~HttpClient();
 
-  /// Sends a GET request and later calls \p OnResponse once, never before this
+  /// Sends a request and later calls \p OnResponse once, never before this
   /// function returns. The response must begin by \p Deadline and then arrive
   /// without a long pause. The previous request must have completed. The next
   /// request after a failure opens a new connection, and so does a request
   /// whose persistent connection the server closes before it answers.
-  void get(const std::string &Target,
+  void get(const HttpRequest &Request,
            std::chrono::steady_clock::time_point Deadline, Handler OnResponse);
 
 private:
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -107,7 +107,7 @@
   HttpClient Client(Context, At);
   std::vector<std::string> Results;
   std::function<void()> Call = [&] {
-    Client.get("/x", std::chrono::steady_clock::now() + 300ms,
+    Client.get({"/x", {}}, std::chrono::steady_clock::now() + 300ms,
                [&](std::optional<HttpResponse> A, const std::string &Reason) {
                  CHECK(A.has_value() == Reason.empty());
                  Results.push_back(A ? std::to_string(A->Status_) + " " +
@@ -200,6 +200,21 @@
   CHECK(Server.connections() == 2);
 }
 
+TEST_CASE("a request target is one word whatever its parts contain") {
+  std::string All;
+  for (int C = 0; C < 256; ++C)
+    All += static_cast<char>(C);
+  std::string Target = encodeTarget({"/a b" + All, {{All, "1"}, {"x", All}}});
+  for (char C : Target)
+    CHECK((C > ' ' && C < 0x7f));
+  CHECK(std::count(Target.begin(), Target.end(), '?') == 1);
+  CHECK(std::count(Target.begin(), Target.end(), '&') == 1);
+  CHECK(std::count(Target.begin(), Target.end(), '=') == 2);
+  CHECK(encodeTarget({"/a/b", {{"after", "a b+%&\xff"}, {"k", ""}}}) ==
+        "/a/b?after=a%20b%2B%25%26%FF&k=");
+  CHECK(encodeTarget({"/a", {}}) == "/a");
+}
+
 TEST_CASE("successive requests reuse the connection") {
   asio::io_context Context;
   ScriptedServer Server(Context, {ok("a"), ok("b"), ok("c")});
