A page that can't be read costs only the part of the list it is in

What callers see: one page of the published list that can't be read keeps every balancer that starts out of service, however many pages are well. A store that misreads the start of a page keeps its reader in the same list for ever.

Cause: the read of a list ended with its first bad page and began again at page 1. The next page was asked for without a look whether it is a later one; a page without a readable key even set the start back to the beginning.

Ways compared: (1) go on with "after" behind the bad page. Nobody knows its last key, and a store puts up to 500 items in a page, so that a guess either meets the same item again or leaves out its neighbours. (2) Read with longer prefixes: op/, servers/, servers/i-, its digits, and the configuration by its own key. A bad key outside the prefixes that are needed then costs no part, another one costs 1 of 256 parts.

Upstreams of a part that wasn't read are not taken for removed, nor evacuations for ended. A page that isn't the one asked for counts as a bad one. After 8 bad pages in a row, or without the configuration, the read ends (outcome "unreadable"): a store that answers nothing readable gets 9 calls.

--- a/include/thymewall/config-reader.h
+++ b/include/thymewall/config-reader.h
@@ -36,7 +36,8 @@
     Stale,       ///< Stale list; may lack current entries.
     HistoryGone, ///< Changes since the revision are no longer available.
     Refused,     ///< The service answered with an error.
-    Failed       ///< No response, or one that can't be decoded.
+    Unreadable,  ///< The service answered in a form that can't be used.
+    Failed       ///< No response.
   };
   Outcome Outcome_ = Outcome::Failed;
   std::string Reason_;      ///< Cause of a failure, for logs.
@@ -46,6 +47,8 @@
   /// Parts that a stale list covers; empty if it covers all of them.
   std::optional<ListParts> Parts_;
   std::size_t RefusedItems_ = 0; ///< Published items that can't be decoded.
+  /// Pages of a list that can't be read; the other pages are in the response.
+  std::size_t UnreadablePages_ = 0;
 };
 
 /// Decides when this process calls the configuration service.
--- a/soak/soak-world.cc
+++ b/soak/soak-world.cc
@@ -369,7 +369,7 @@
   ReadinessClients_[Balancer]->get(
       {"/thymewall/readiness", {}}, now() + 400ms,
       [this, Balancer](std::optional<detail::HttpResponse> A,
-                       const std::string &) {
+                       const detail::HttpFailure &) {
         bool Healthy = A && A->Status_ == 200;
         ProbeFailures_[Balancer] = Healthy ? 0 : ProbeFailures_[Balancer] + 1;
         if (Healthy || ProbeFailures_[Balancer] >= 2)
--- a/src/config-reader.cc
+++ b/src/config-reader.cc
@@ -92,6 +92,7 @@
     ListNeeded_ = true;
     return;
   case ConfigResponse::Outcome::Refused:
+  case ConfigResponse::Outcome::Unreadable:
   case ConfigResponse::Outcome::Failed:
     return;
   }
--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -19,8 +19,6 @@
 namespace http = boost::beast::http;
 using Parser = http::response_parser<http::string_body>;
 
-/// Largest response body that is accepted.
-constexpr std::uint64_t MaxBodyBytes = 8 << 20;
 constexpr std::size_t ReadBufferBytes = 16384;
 /// Idle timeout within a response. It extends the request's deadline, so that a
 /// slow but steady transfer of a long list is not aborted and repeated.
@@ -97,7 +95,8 @@
       if (Self->FailAt_ > std::chrono::steady_clock::now())
         Self->armTimer();
       else
-        Self->fail("timed out waiting for the response");
+        Self->fail({HttpFailure::Kind::NoResponse,
+                    "timed out waiting for the response"});
     });
   }
 
@@ -146,7 +145,8 @@
       if (Error == http::error::need_more || Consumed == 0)
         break;
       if (Error)
-        return fail("invalid HTTP response: " + Error.message());
+        return fail({HttpFailure::Kind::Unreadable,
+                     "invalid HTTP response: " + Error.message()});
     }
     Unparsed_.erase(0, Parsed);
     if (Parser_->is_done())
@@ -161,24 +161,24 @@
     bool KeepAlive = Parser_->keep_alive();
     Handler Done = std::move(OnResponse_);
     endRequest(!KeepAlive);
-    Done(std::move(Response), "");
+    Done(std::move(Response), {});
   }
 
   /// A server may close a persistent connection at any time, which says nothing
   /// about whether it answers. The request is sent once more on a new one.
   void connectionFailed(const std::string &Reason) {
     if (!IsReused_)
-      return fail(Reason);
+      return fail({HttpFailure::Kind::NoResponse, Reason});
     IsReused_ = false;
     asio::error_code Ignored;
     Socket_.close(Ignored);
     connect();
   }
 
-  void fail(const std::string &Reason) {
+  void fail(const HttpFailure &Failure) {
     Handler Done = std::move(OnResponse_);
     endRequest(true);
-    Done(std::nullopt, Reason);
+    Done(std::nullopt, Failure);
   }
 
   void endRequest(bool Close) {
--- a/src/http-client.h
+++ b/src/http-client.h
@@ -33,12 +33,24 @@
   std::string Body_;
 };
 
+/// Why a request has no response that can be used.
+struct HttpFailure {
+  enum class Kind : std::uint8_t {
+    NoResponse, ///< The connection failed or the request timed out.
+    Unreadable  ///< The response is too long or is not HTTP.
+  };
+  Kind Kind_ = Kind::NoResponse;
+  std::string Reason_;
+};
+
 class HttpClient {
 public:
-  /// Receives the response, or `std::nullopt` and the \p Reason if the
-  /// connection failed or the request timed out.
-  using Handler = std::function<void(std::optional<HttpResponse>,
-                                     const std::string &Reason)>;
+  /// Largest response body that is accepted, in bytes.
+  static constexpr std::uint64_t MaxBodyBytes = 8 << 20;
+
+  /// Receives the response, or `std::nullopt` and the reason.
+  using Handler =
+      std::function<void(std::optional<HttpResponse>, const HttpFailure &)>;
 
   HttpClient(asio::io_context &Context, const Endpoint &Server);
   ~HttpClient();
--- a/src/packet-log.cc
+++ b/src/packet-log.cc
@@ -78,6 +78,8 @@
     return "history_gone";
   case ConfigResponse::Outcome::Refused:
     return "refused";
+  case ConfigResponse::Outcome::Unreadable:
+    return "unreadable";
   case ConfigResponse::Outcome::Failed:
     return "failed";
   }
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -108,8 +108,8 @@
   std::vector<std::string> Results;
   std::function<void()> Call = [&] {
     Client.get({"/x", {}}, std::chrono::steady_clock::now() + 300ms,
-               [&](std::optional<HttpResponse> A, const std::string &Reason) {
-                 CHECK(A.has_value() == Reason.empty());
+               [&](std::optional<HttpResponse> A, const HttpFailure &Failure) {
+                 CHECK(A.has_value() == Failure.Reason_.empty());
                  Results.push_back(A ? std::to_string(A->Status_) + " " +
                                            A->Body_
                                      : "failed");
--- a/test/paged-store.h
+++ b/test/paged-store.h
@@ -134,9 +134,20 @@
         return *Replaced;
     if (Path == "/thymewall/kv-range")
       return page(Parameters);
+    if (Path == "/thymewall/kv-key")
+      return item(Parameters["key-file"]);
     return events(std::stoull(Parameters["after"]));
   }
 
+  detail::HttpPage item(const std::string &Key) const {
+    auto Found = Items_.find(Key);
+    if (Found == Items_.end())
+      return {404, "application/json", "{}"};
+    Json Body = Found->second;
+    Body["store-revision"] = Revision_;
+    return jsonPage(Body);
+  }
+
   detail::HttpPage events(Revision After) const {
     Json Events = Json::array();
     for (const auto &[Key, Item] : Items_)
--- a/test/store-client-test.cc
+++ b/test/store-client-test.cc
@@ -67,3 +67,146 @@
       CHECK(upstreamsOf(Response) == Upstreams{1, 0xff000002});
     }
 }
+
+namespace {
+
+/// Responds to lists like a store whose page can't be decoded if it contains a
+/// given key.
+PagedStore::Fault brokenAt(const PagedStore &Store, const std::string &Key) {
+  return [&Store, Key](const std::string &Path,
+                       const PagedStore::Query &Parameters)
+             -> std::optional<detail::HttpPage> {
+    detail::HttpPage Page = Store.page(Parameters);
+    bool Broken = Path == "/thymewall/kv-range" &&
+                  Page.Body_.find('"' + Key + '"') != std::string::npos;
+    if (!Broken)
+      return std::nullopt;
+    Page.Body_ = "{\"items\":[{\"key-file\":\"\xff";
+    return Page;
+  };
+}
+
+/// Publishes a configuration and upstreams in the parts 0, 0x10 ... 0xf0.
+void putOnePerDigit(PagedStore &Store) {
+  Store.put("op/config", routingDocument());
+  for (char Digit : std::string("0123456789abcdef"))
+    Store.putUpstream(std::string("servers/i-") + Digit + "0000001");
+}
+
+} // namespace
+
+// Otherwise no balancer of a fleet that starts ever becomes ready.
+TEST_CASE(
+    "a page that can't be read costs only the part of the list it is in") {
+  for (const char *Key :
+       {"a", "op/config2", "op/other", "op/evacuate/x", "servers/", "servers/a",
+        "servers/i-", "servers/i-7", "servers/j", "z"})
+    for (std::size_t PageSize : {1U, 4U, 500U}) {
+      PagedStore Store;
+      Store.setPageSize(PageSize);
+      putOnePerDigit(Store);
+      Store.put(Key, "another writer's");
+      Store.setFault(brokenAt(Store, Key));
+      ConfigResponse Response = Store.call(Kind::List);
+      INFO("key: ", std::string(Key), ", page size: ", PageSize);
+      CHECK(Response.Outcome_ == Outcome::Done);
+      bool Configured = Response.Routing_ != nullptr;
+      CHECK(Configured);
+      CHECK(upstreamsOf(Response).size() == 16);
+      CHECK(Response.Batch_.UnchangedParts_.none());
+      CHECK(Response.UnreadablePages_ > 0);
+      CHECK(Store.targets().size() < 64);
+    }
+}
+
+TEST_CASE("upstreams of a part that can't be read are not taken for removed") {
+  PagedStore Store;
+  putOnePerDigit(Store);
+  Store.put("servers/i-70ff", "another writer's");
+  Store.setFault(brokenAt(Store, "servers/i-70ff"));
+  ConfigResponse Response = Store.call(Kind::List);
+  CHECK(Response.Outcome_ == Outcome::Done);
+  CHECK(upstreamsOf(Response).size() == 15);
+  CHECK(Response.Batch_.IsSnapshot_);
+  CHECK(Response.Batch_.UnchangedParts_ == ListParts{}.set(0x70));
+  CHECK(Response.Evacuations_.IsSnapshot_);
+}
+
+TEST_CASE("evacuations that can't be read are not taken for ended") {
+  PagedStore Store;
+  putOnePerDigit(Store);
+  Store.put("op/evacuate/hall", "");
+  Store.setFault(brokenAt(Store, "op/evacuate/hall"));
+  ConfigResponse Response = Store.call(Kind::List);
+  CHECK(Response.Outcome_ == Outcome::Done);
+  CHECK_FALSE(Response.Evacuations_.IsSnapshot_);
+  CHECK(upstreamsOf(Response).size() == 16);
+}
+
+TEST_CASE("a later page that the store can't answer costs no other page") {
+  for (unsigned Status : {400U, 404U, 500U}) {
+    PagedStore Store;
+    Store.setPageSize(4);
+    putOnePerDigit(Store);
+    Store.setFault(
+        [&](const std::string &,
+            const PagedStore::Query &Q) -> std::optional<detail::HttpPage> {
+          if (Q.count("after") == 0 || Q.at("path-prefix") == "servers/i-")
+            return std::nullopt;
+          return detail::HttpPage{Status, "text/plain", ""};
+        });
+    ConfigResponse Response = Store.call(Kind::List);
+    CHECK(Response.Outcome_ == Outcome::Done);
+    CHECK(upstreamsOf(Response).size() == 16);
+  }
+}
+
+// A store that misreads the start of a page must not keep a reader busy.
+TEST_CASE("pages that don't move forward end the read") {
+  PagedStore Store;
+  Store.setPageSize(4);
+  putOnePerDigit(Store);
+  Store.setFault(
+      [&](const std::string &,
+          const PagedStore::Query &) -> std::optional<detail::HttpPage> {
+        return Store.page({});
+      });
+  ConfigResponse Response = Store.call(Kind::List);
+  CHECK(Response.Outcome_ == Outcome::Unreadable);
+  CHECK(Response.Routing_);
+  CHECK(Store.targets().size() < 40);
+}
+
+TEST_CASE("a page without any readable key does not start the list again") {
+  PagedStore Store;
+  Store.setPageSize(4);
+  putOnePerDigit(Store);
+  Store.setFault(
+      [&](const std::string &,
+          const PagedStore::Query &Q) -> std::optional<detail::HttpPage> {
+        if (Q.count("after") == 0 || !Q.at("path-prefix").empty())
+          return std::nullopt;
+        Json Page = {{"items", {{{"key-file", 5}, {"revision", 1}}}},
+                     {"has-more", true},
+                     {"store-revision", Store.revision()}};
+        return detail::HttpPage{200, "application/json", Page.dump()};
+      });
+  ConfigResponse Response = Store.call(Kind::List);
+  CHECK(Response.Outcome_ == Outcome::Done);
+  CHECK(upstreamsOf(Response).size() == 16);
+}
+
+TEST_CASE("a store that answers nothing readable is called a few times only") {
+  PagedStore Store;
+  putOnePerDigit(Store);
+  Store.setFault(
+      [&](const std::string &,
+          const PagedStore::Query &) -> std::optional<detail::HttpPage> {
+        return detail::HttpPage{200, "text/html", "<html>"};
+      });
+  for (Kind Which : {Kind::List, Kind::StaleList}) {
+    std::size_t Before = Store.targets().size();
+    CHECK(Store.call(Which).Outcome_ == Outcome::Unreadable);
+    CHECK(Store.targets().size() - Before <= 9);
+  }
+}
