Serve by the pages that were read before a list failed

What callers see: while a late page of the list fails (the service turns the call away, or doesn't answer), balancers that start throw away the pages before it, are not ready, and read page 1 again. A fleet that starts serves nothing as long as this lasts.

Cause: the result of a list was all or nothing, although a start serves by a stale list anyway, which may lack upstreams too.

Which rules it keeps: an upstream that was read is listed, so openings to it are allowed.

What it breaks for the time: even load, and openings for services whose upstreams come later in the list.

Ways compared: (1) all or nothing, as before; (2) go on from the failed page with the next call. The result would be complete as of the first call, but count as of the second, unless each page kept its own time; (3) what was read, as an incomplete list, only while nothing else is known.

--- a/include/thymewall/config-reader.h
+++ b/include/thymewall/config-reader.h
@@ -29,7 +29,8 @@
   MonoTime GiveUpAt_{};
 };
 
-/// Result of a call.
+/// Result of a call. That of a list that failed has what was read before the
+/// failure.
 struct ConfigResponse {
   enum class Outcome : std::uint8_t {
     Done,
--- a/include/thymewall/gossip.h
+++ b/include/thymewall/gossip.h
@@ -209,6 +209,9 @@
   /// A stale list was read. It suffices to serve callers, but doesn't make the
   /// state current.
   void staleListRead(MonoTime Now, const ConfigResponse &Response);
+  /// A list could not be read to its end. While nothing else is known, what was
+  /// read serves callers.
+  void partialListRead(MonoTime Now, const ConfigResponse &Response);
   /// A call of the configuration service, begun at \p SentAt, failed; another
   /// balancer may take over.
   void readFailed(MonoTime Now, ConfigResponse::Outcome Reason,
--- a/src/gossip-impl.h
+++ b/src/gossip-impl.h
@@ -125,6 +125,7 @@
   bool readSucceeded(MonoTime Now, const ConfigResponse &Response,
                      MonoTime AsOf);
   void staleListRead(MonoTime Now, const ConfigResponse &Response);
+  void partialListRead(MonoTime Now, const ConfigResponse &Response);
   void readFailed(MonoTime Now, ConfigResponse::Outcome Reason,
                   MonoTime SentAt);
   void listReadStarted(MonoTime Now);
--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -170,6 +170,20 @@
   addParts(Now, Parts);
 }
 
+/// Some upstreams serve callers better than none. The list stays incomplete, so
+/// that peers and the next read add or remove the others. A list made up of all
+/// parts is compared with a peer's by digests, and isn't changed any more.
+void GossipNode::Impl::partialListRead(MonoTime Now,
+                                       const ConfigResponse &Response) {
+  const std::vector<UpstreamChange> &Read = Response.Batch_.Changes_;
+  bool HasUpstreams =
+      std::any_of(Read.begin(), Read.end(),
+                  [](const UpstreamChange &C) { return C.Entry_.has_value(); });
+  if (HasUpstreams && List_.through() == 0 && !Parts_.all())
+    apply(Now, Response.Routing_, Response.Batch_, Response.Evacuations_,
+          MonoTime{});
+}
+
 bool GossipNode::Impl::readSucceeded(MonoTime Now,
                                      const ConfigResponse &Response,
                                      MonoTime AsOf) {
@@ -297,6 +311,9 @@
 void GossipNode::staleListRead(MonoTime Now, const ConfigResponse &Response) {
   Impl_->staleListRead(Now, Response);
 }
+void GossipNode::partialListRead(MonoTime Now, const ConfigResponse &Response) {
+  Impl_->partialListRead(Now, Response);
+}
 void GossipNode::setLeaving(MonoTime Now) { Impl_->setLeaving(Now); }
 void GossipNode::setSeeds(std::vector<Endpoint> Seeds) {
   Impl_->setSeeds(std::move(Seeds));
--- a/src/packet-process-gossip.cc
+++ b/src/packet-process-gossip.cc
@@ -29,8 +29,10 @@
   ServiceLog_.answered(Now, Response);
   RefusedItems_ += Response.RefusedItems_;
   UnreadablePages_ += Response.UnreadablePages_;
-  if (!Done && !Stale)
+  if (!Done && !Stale) {
     ++ServiceFailures_;
+    Gossip_.partialListRead(Now, Response);
+  }
   if (Stale)
     Gossip_.staleListRead(Now, Response);
   else if (!Done)
--- a/test/parts-exchange-test.cc
+++ b/test/parts-exchange-test.cc
@@ -1,4 +1,4 @@
-// Late copies of a list part must not replace the part during a start.
+// Parts of a list that a balancer gets during its start.
 #include "thymewall/gossip.h"
 
 #include <doctest/doctest.h>
@@ -86,6 +86,8 @@
       for (const UpstreamChange &Change : Changes)
         if (Change.Entry_)
           Listed_.insert(raw(Change.Incarnation_));
+        else
+          Listed_.erase(raw(Change.Incarnation_));
     };
     Hooks.OnConfirmed_ = [](MonoTime) {};
     Hooks.OnWarning_ = [](const UpstreamWarning &) {};
@@ -113,7 +115,42 @@
     Late.Batch_.Changes_ = {listed(72, NearlyCompleteStart::Missing)};
     S.Gossip_.staleListRead(at(25ms), Late);
   }
+  SUBCASE("late list that failed") {
+    ConfigResponse Late;
+    Late.Batch_.Changes_ = {listed(72, NearlyCompleteStart::Missing)};
+    S.Gossip_.partialListRead(at(25ms), Late);
+  }
   S.noDifference(2, 80);
   CHECK(S.Gossip_.through() == 80);
   CHECK(S.Listed_ == std::set<std::uint64_t>{5, 71});
 }
+
+// A fleet whose lists fail at a late page must not stay without any upstream.
+TEST_CASE("a list that failed serves until the full list is read") {
+  NearlyCompleteStart S;
+  ConfigResponse Partial;
+  Partial.Routing_ = std::make_shared<RoutingTable>();
+  Partial.Batch_.Changes_ = {listed(71, 7), listed(72, 7)};
+  S.Gossip_.partialListRead(at(5ms), Partial);
+  CHECK(S.Listed_ == std::set<std::uint64_t>{5, 71, 72});
+  CHECK(S.Gossip_.through() == 0); // not taken for complete
+  CHECK(S.Gossip_.confirmedAsOf() == MonoTime{});
+  ConfigResponse Full;
+  Full.Outcome_ = ConfigResponse::Outcome::Done;
+  Full.Batch_.IsSnapshot_ = true;
+  Full.Batch_.Through_ = 90;
+  Full.Batch_.Changes_ = {listed(5, 1), listed(71, 7)};
+  S.Gossip_.readSucceeded(at(50ms), Full, at(40ms));
+  CHECK(S.Listed_ == std::set<std::uint64_t>{5, 71});
+  // A later failure brings nothing back.
+  S.Gossip_.partialListRead(at(60ms), Partial);
+  CHECK(S.Listed_ == std::set<std::uint64_t>{5, 71});
+}
+
+TEST_CASE("a list that failed before its first upstream changes nothing") {
+  NearlyCompleteStart S;
+  ConfigResponse Partial;
+  Partial.Batch_.Changes_ = {{Incarnation{5}, 9, std::nullopt}};
+  S.Gossip_.partialListRead(at(5ms), Partial);
+  CHECK(S.Listed_ == std::set<std::uint64_t>{5});
+}
--- a/test/store-client-test.cc
+++ b/test/store-client-test.cc
@@ -210,3 +210,27 @@
     CHECK(Store.targets().size() - Before <= 9);
   }
 }
+
+// A fleet whose lists fail at a late page must serve by the earlier ones.
+TEST_CASE("a list that fails has what was read before, not as a snapshot") {
+  for (Kind Which : {Kind::List, Kind::StaleList}) {
+    PagedStore Store;
+    Store.setPageSize(4);
+    putOnePerDigit(Store);
+    Store.setFault(
+        [&](const std::string &,
+            const PagedStore::Query &Q) -> std::optional<detail::HttpPage> {
+          if (Q.count("after") == 0 || Q.at("after") < "servers/i-6")
+            return std::nullopt;
+          return detail::HttpPage{503, "text/plain", ""};
+        });
+    ConfigResponse Response = Store.call(Which);
+    CHECK(Response.Outcome_ == Outcome::Refused);
+    CHECK(Response.Routing_);
+    CHECK(upstreamsOf(Response).size() == 7);
+    CHECK_FALSE(Response.Batch_.IsSnapshot_);
+    CHECK(Response.Batch_.Through_ == 0);
+    CHECK_FALSE(Response.Evacuations_.IsSnapshot_);
+    CHECK_FALSE(Response.Parts_);
+  }
+}
