A value or element of a configuration that can't be used costs only itself

Cause: the decoder threw at the first value outside its own bounds, and the item counted as read. The bounds are ours; the pages set none for prio, max-conns, slo-ms and timeout-ms, and the store accepts only valid configurations. The same happened for a route without an address or a service, a share or a service without a name, a cold limit that is no number, missing limits, and any number beyond a double (1e400). Other values passed unchecked: a weight of -1 was 4,294,967,295, one of 0.5 was 0.

Ruled out: the way of a table through the fleet (peers check the same bounds, and get only values within them).

Change, by what a value means: above our bound, it counts as the bound; without a meaning, as missing; an element that can't be used is left out, so that its callers are refused at once as on any address without a route. Weights keep their ratio. The whole is refused, and the table in force stays, only if it is no configuration: not JSON, no version, no list of routes, or routes of which none can be used. Log published_value_adjusted (path, reason), counter service_values_adjusted.

Ways compared: wider bounds (prio of 16 bits) let 300 pass and refuse the next value; keeping the old route in place of an unusable one serves callers by what the operators removed. Both leave the rule broken.

--- a/include/thymewall/config-reader.h
+++ b/include/thymewall/config-reader.h
@@ -48,6 +48,8 @@
   /// Parts that a stale list covers; empty if it covers all of them.
   std::optional<ListParts> Parts_;
   std::size_t RefusedItems_ = 0; ///< Published items that can't be decoded.
+  /// Values of the routing table that are not used as published.
+  std::size_t AdjustedValues_ = 0;
   /// Pages of a list that can't be read; the other pages are in the response.
   std::size_t UnreadablePages_ = 0;
 };
--- a/include/thymewall/routing.h
+++ b/include/thymewall/routing.h
@@ -28,7 +28,7 @@
 
 /// What callers of an address expect.
 struct ServiceObjective {
-  /// Longest latency and deadline: a day. Longer ones are a writer's errors.
+  /// Longest latency and deadline.
   static constexpr Micros MaxDeadline = std::chrono::hours(24);
 
   std::uint8_t Priority_ = 0; ///< 0 is the most urgent.
@@ -46,6 +46,9 @@
 struct RoutingTable {
   /// Highest value in `MaxFlowsPerUpstream_`.
   static constexpr std::uint32_t HighestFlowLimit = 1'000'000;
+  /// Highest value in `ColdFlowsPerSecond_`.
+  static constexpr double HighestColdFlowsPerSecond = 1e6;
+  static constexpr Micros LongestIdleTimeout = std::chrono::hours(24);
 
   Version Version_ = 0;
   std::unordered_map<Endpoint, std::vector<ServiceShare>, EndpointHash>
--- a/src/packet-pages.cc
+++ b/src/packet-pages.cc
@@ -61,6 +61,7 @@
       {"service_calls", R.ServiceCalls_},
       {"service_failures", R.ServiceFailures_},
       {"service_items_refused", R.RefusedItems_},
+      {"service_values_adjusted", R.AdjustedValues_},
       {"service_pages_unreadable", R.UnreadablePages_},
       {"reads_for_fleet", R.ReadsForFleet_ ? 1U : 0U},
       {"stepped_back", R.SteppedBack_ ? 1U : 0U},
--- a/src/packet-pages.h
+++ b/src/packet-pages.h
@@ -30,6 +30,7 @@
   std::uint64_t ServiceCalls_ = 0;
   std::uint64_t ServiceFailures_ = 0;
   std::uint64_t RefusedItems_ = 0;
+  std::uint64_t AdjustedValues_ = 0;
   std::uint64_t UnreadablePages_ = 0;
   std::uint64_t LogLinesDropped_ = 0;
   HostHealth Health_;
--- a/src/packet-process-control.cc
+++ b/src/packet-process-control.cc
@@ -75,6 +75,7 @@
   R.ServiceCalls_ = ServiceCalls_;
   R.ServiceFailures_ = ServiceFailures_;
   R.RefusedItems_ = RefusedItems_;
+  R.AdjustedValues_ = AdjustedValues_;
   R.UnreadablePages_ = UnreadablePages_;
   R.Health_ = Health_.health();
   R.SteppedBack_ = StepBack_.isSteppedBack();
--- a/src/packet-process-gossip.cc
+++ b/src/packet-process-gossip.cc
@@ -28,6 +28,7 @@
   bool Stale = Response.Outcome_ == ConfigResponse::Outcome::Stale;
   ServiceLog_.answered(Now, Response);
   RefusedItems_ += Response.RefusedItems_;
+  AdjustedValues_ += Response.AdjustedValues_;
   UnreadablePages_ += Response.UnreadablePages_;
   if (!Done && !Stale) {
     ++ServiceFailures_;
--- a/src/packet-process-impl.h
+++ b/src/packet-process-impl.h
@@ -149,7 +149,8 @@
   std::uint64_t Malformed_ = 0;
   std::uint64_t ServiceCalls_ = 0;
   std::uint64_t ServiceFailures_ = 0;
-  std::uint64_t RefusedItems_ = 0; ///< Published items that can't be decoded.
+  std::uint64_t RefusedItems_ = 0;   ///< Published items that can't be decoded.
+  std::uint64_t AdjustedValues_ = 0; ///< Not used as published.
   std::uint64_t UnreadablePages_ = 0; ///< Of published lists.
   bool ReadyLogged_ = false;
   bool FirstConfirmationLogged_ = false;
--- a/test/published-items.h
+++ b/test/published-items.h
@@ -42,6 +42,16 @@
   return *Answer;
 }
 
+/// Decodes a configuration, whether or not its text is valid.
+inline StoreResponse decodeConfigurationText(const std::string &Text) {
+  Json Item = makeItem("op/config", nullptr, 12);
+  Item["val"] = base64(Text);
+  return decodeResponse({{"items", {Item}}, {"store-revision", 15}});
+}
+inline StoreResponse decodeConfiguration(const Json &Document) {
+  return decodeConfigurationText(Document.dump());
+}
+
 } // namespace thymewall::test
 
 #endif
