Don't send a call on a connection that has been idle for a second

Cause, first of two faults: a balancer keeps the connection of its start-up read for ever. When it takes over as the reader, it sends its first call there and learns only by the call's whole timeout (1.5 s) that nobody hears it.

Change: the HTTP client closes a connection that has not been used for 1 s. A reader pauses for 0.3 s at most between its calls and keeps its connection. A take-over pays for a new connection, no call more than before.

http-test, "a request after a rest doesn't depend on the connection before it", fails before (1 connection in place of 3).

--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -55,6 +55,9 @@
     ++RequestId_;
     FailAt_ = Deadline;
     armTimer();
+    // The timer that closes it may be late.
+    if (std::chrono::steady_clock::now() >= IdleUntil_)
+      closeConnection();
     IsReused_ = Socket_.is_open();
     if (IsReused_)
       send();
@@ -66,8 +69,7 @@
     OnResponse_ = nullptr;
     ++RequestId_;
     Timer_.cancel();
-    asio::error_code Ignored;
-    Socket_.close(Ignored);
+    closeConnection();
   }
 
 private:
@@ -170,8 +172,7 @@
     if (!IsReused_)
       return fail({HttpFailure::Kind::NoResponse, Reason});
     IsReused_ = false;
-    asio::error_code Ignored;
-    Socket_.close(Ignored);
+    closeConnection();
     connect();
   }
 
@@ -183,10 +184,22 @@
 
   void endRequest(bool Close) {
     ++RequestId_;
-    Timer_.cancel();
-    asio::error_code Ignored;
     if (Close)
-      Socket_.close(Ignored);
+      closeConnection();
+    IdleUntil_ = std::chrono::steady_clock::now() + MaxIdleTime;
+    Timer_.expires_at(IdleUntil_); // cancels the wait for the deadline
+    if (Close)
+      return;
+    Timer_.async_wait([Self = shared_from_this(),
+                       RequestId = RequestId_](const asio::error_code &Error) {
+      if (!Error && Self->RequestId_ == RequestId)
+        Self->closeConnection();
+    });
+  }
+
+  void closeConnection() {
+    asio::error_code Ignored;
+    Socket_.close(Ignored);
   }
 
   asio::ip::tcp::socket Socket_;
@@ -199,6 +212,8 @@
   std::optional<Parser> Parser_;
   std::array<char, ReadBufferBytes> Buffer_{};
   Handler OnResponse_;
+  /// When an unused connection is closed.
+  std::chrono::steady_clock::time_point IdleUntil_;
   /// The connection served an earlier request and has not answered this one.
   bool IsReused_ = false;
   std::uint64_t RequestId_ = 0; ///< Changes when a request starts or ends.
--- a/src/http-client.h
+++ b/src/http-client.h
@@ -45,6 +45,10 @@
 
 class HttpClient {
 public:
+  /// Time without requests after which a connection is closed. Whether it still
+  /// works can't be known without using it, and the next request would pay for
+  /// finding out with its whole timeout.
+  static constexpr auto MaxIdleTime = std::chrono::milliseconds(1000);
   /// Largest response body that is accepted, in bytes.
   static constexpr std::uint64_t MaxBodyBytes = 8 << 20;
 
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -100,11 +100,13 @@
          "\r\n\r\n" + Body;
 }
 
-/// Sends \p Count requests in sequence and returns each result: "200 body" or
-/// "failed".
+/// Sends \p Count requests in sequence, with pauses, and returns each result:
+/// "200 body" or "failed".
 std::vector<std::string> sendRequests(asio::io_context &Context,
-                                      const Endpoint &At, int Count) {
+                                      const Endpoint &At, int Count,
+                                      std::chrono::milliseconds Pause = 0ms) {
   HttpClient Client(Context, At);
+  asio::steady_timer Timer(Context);
   std::vector<std::string> Results;
   std::function<void()> Call = [&] {
     Client.get({"/x", {}}, std::chrono::steady_clock::now() + 300ms,
@@ -114,9 +116,11 @@
                                            A->Body_
                                      : "failed");
                  if (static_cast<int>(Results.size()) == Count)
-                   Context.stop();
-                 else
-                   Call();
+                   return Context.stop();
+                 if (Pause == 0ms)
+                   return Call();
+                 Timer.expires_after(Pause);
+                 Timer.async_wait([&](const asio::error_code &) { Call(); });
                });
   };
   Call();
@@ -223,6 +227,16 @@
   CHECK(Server.connections() == 1);
 }
 
+// A connection may go silent while it isn't used, without a reset.
+TEST_CASE("a request after a rest doesn't depend on the connection before it") {
+  asio::io_context Context;
+  ScriptedServer Server(Context, {ok("a"), ok("b"), ok("c")});
+  CHECK(
+      sendRequests(Context, Server.at(), 3, HttpClient::MaxIdleTime + 100ms) ==
+      Strings{"200 a", "200 b", "200 c"});
+  CHECK(Server.connections() == 3);
+}
+
 TEST_CASE("a persistent connection that the server has closed is no failure of "
           "the server") {
   asio::io_context Context;
