A silent connection is no outage of the configuration service

An upstream whose removal the next answer told stayed in use for 2 s more, as if its entry had lapsed.

Cause: a call without a response counted as failed since it was sent, whatever connection it used. A persistent connection that falls silent says nothing about the service.

Ruled out: the gap alone (the age of the state counts only with a failed call), and the limits of an outage: longer ones lose upstreams in a real one.

Change: a failed call tells since when a connection of its own got no response (ConfigResponse::FailingSince_). Only that, or a refusal, is evidence, here and in reports to peers. After silence on an earlier connection, noticed after 0.4 s, the reader stays the reader and asks at once on a new one, with a watch that doesn't wait; if that fails, too, the service is away. Calls don't multiply: one more for each lost connection. Lists keep their timeout and backoff, so that starts beside a slow service don't repeat pages. The log's reason names which connection timed out.

--- a/include/thymewall/config-reader.h
+++ b/include/thymewall/config-reader.h
@@ -27,6 +27,9 @@
   MonoTime WaitUntil_{};       ///< When a watch without changes is answered.
   /// Deadline for the response, or for the first page of a list.
   MonoTime GiveUpAt_{};
+  /// The same for a watch on a connection that served earlier calls. If that
+  /// has gone silent, a new one is tried soon.
+  MonoTime PersistentGiveUpAt_{};
 };
 
 /// Result of a call. That of a list that failed has what was read before the
@@ -41,7 +44,12 @@
     Failed       ///< No response.
   };
   Outcome Outcome_ = Outcome::Failed;
-  std::string Reason_;      ///< Cause of a failure, for logs.
+  std::string Reason_; ///< Cause of a failure, for logs.
+  /// Since when the service is known not to have served this caller: a call
+  /// that was refused, or one without a response on a connection of its own.
+  /// Empty if the service may well be there: if it answered, or if only a
+  /// connection that served earlier calls went silent.
+  std::optional<MonoTime> FailingSince_;
   RoutingTablePtr Routing_; ///< Null if unchanged.
   UpstreamBatch Batch_;
   EvacuationBatch Evacuations_;
@@ -65,6 +73,10 @@
   /// Deadline for a response, in addition to the duration of its watch. The
   /// service answers in milliseconds, and in 0.3 s when it is slow.
   static constexpr Micros ResponseTimeout = std::chrono::milliseconds(1000);
+  /// The same for a watch on a connection that served earlier calls. Longer
+  /// than an answer of a slow service takes.
+  static constexpr Micros PersistentResponseTimeout =
+      std::chrono::milliseconds(400);
   /// Wait for peers after a stale list, plus up to `PeerUpdateJitter`, before
   /// the current list is read. When a whole fleet starts, the first readers
   /// inform the others in this time: links open and a list arrives within some
@@ -125,8 +137,6 @@
   void noOtherCallers(MonoTime Now);
   /// Makes the next call read the full list.
   void requestList() { ListNeeded_ = true; }
-  /// Returns when the last call began.
-  MonoTime sentAt() const { return SentAt_; }
   /// Returns the time up to which the last response includes all changes.
   MonoTime completeAt() const { return CompleteAt_; }
 
@@ -151,6 +161,8 @@
   std::size_t StaleListAttempts_ = 0;
   bool WaitingForPeers_ = false; ///< Has only some parts of the list.
   bool InFlight_ = false;
+  /// The connection of the last watch went silent.
+  bool ConnectionLost_ = false;
 };
 
 } // namespace thymewall
--- a/include/thymewall/gossip.h
+++ b/include/thymewall/gossip.h
@@ -212,10 +212,9 @@
   /// A list could not be read to its end. While nothing else is known, what was
   /// read serves callers.
   void partialListRead(MonoTime Now, const ConfigResponse &Response);
-  /// A call of the configuration service, begun at \p SentAt, failed; another
-  /// balancer may take over.
-  void readFailed(MonoTime Now, ConfigResponse::Outcome Reason,
-                  MonoTime SentAt);
+  /// A call of the configuration service failed. Another balancer may take over
+  /// unless the failure says nothing about the service.
+  void readFailed(MonoTime Now, const ConfigResponse &Response);
   /// Records that this balancer has begun to read the full list for the fleet.
   void listReadStarted(MonoTime Now);
   /// Sends a warning about an upstream to the fleet.
--- a/soak/soak-world.cc
+++ b/soak/soak-world.cc
@@ -367,7 +367,7 @@
 
 void Environment::probeReadiness(std::size_t Balancer) {
   ReadinessClients_[Balancer]->get(
-      {"/thymewall/readiness", {}}, now() + 400ms,
+      {"/thymewall/readiness", {}, now() + 400ms},
       [this, Balancer](std::optional<detail::HttpResponse> A,
                        const detail::HttpFailure &) {
         bool Healthy = A && A->Status_ == 200;
--- a/src/config-reader.cc
+++ b/src/config-reader.cc
@@ -10,6 +10,12 @@
   return Response.Routing_ || !Response.Batch_.Changes_.empty();
 }
 
+/// Whether a call failed in a way that says nothing about the service.
+bool isConnectionLoss(const ConfigResponse &Response) {
+  return Response.Outcome_ == ConfigResponse::Outcome::Failed &&
+         !Response.FailingSince_;
+}
+
 Micros scaled(Micros Of, double Share) {
   return Micros(
       static_cast<Micros::rep>(Share * static_cast<double>(Of.count())));
@@ -23,7 +29,10 @@
     return std::nullopt;
   InFlight_ = true;
   SentAt_ = Now;
-  WaitUntil_ = ListNeeded_ ? Now : Now + WatchTimeout;
+  // After a lost connection the answer is overdue: a watch that doesn't wait
+  // gets it at once.
+  bool Waits = !ListNeeded_ && !ConnectionLost_;
+  WaitUntil_ = Waits ? Now + WatchTimeout : Now;
   ConfigRequest Request;
   Request.Kind_ = nextKind();
   Request.After_ = ListNeeded_ ? 0 : Through_;
@@ -31,6 +40,7 @@
       JitterFraction_ * static_cast<double>(ListPartCount));
   Request.WaitUntil_ = WaitUntil_;
   Request.GiveUpAt_ = WaitUntil_ + ResponseTimeout;
+  Request.PersistentGiveUpAt_ = WaitUntil_ + PersistentResponseTimeout;
   return Request;
 }
 
@@ -75,6 +85,7 @@
   StaleListNeeded_ = StaleListNeeded_ && !Served &&
                      ++StaleListAttempts_ < MaxStaleListAttempts;
   WaitingForPeers_ = Response.Parts_.has_value();
+  ConnectionLost_ = !ListNeeded_ && isConnectionLoss(Response);
   DueWithoutOthersAt_ = MonoTime::max();
   DueAt_ = Now + delayAfter(Now, Response, FleetSize);
   switch (Response.Outcome_) {
@@ -125,7 +136,8 @@
   }
   if (Response.Outcome_ == ConfigResponse::Outcome::Stale)
     return peerWait(Response);
-  if (Response.Outcome_ == ConfigResponse::Outcome::HistoryGone)
+  if (Response.Outcome_ == ConfigResponse::Outcome::HistoryGone ||
+      ConnectionLost_)
     return Micros(0);
   return delayAfterFailure(Now, FleetSize);
 }
--- a/src/gossip-confirmations.cc
+++ b/src/gossip-confirmations.cc
@@ -72,18 +72,21 @@
     sendHeartbeats(Now);
 }
 
-/// A call that got no response shows nothing if this process was suspended
-/// meanwhile. Behind an impaired host, calls fail although the service works.
-void GossipNode::Impl::readFailed(MonoTime Now, ConfigResponse::Outcome Reason,
-                                  MonoTime SentAt) {
-  IsReader_ = false;
-  bool Suspended = SentAt < RunningSince_ || Now - LastTick_ > SuspendThreshold;
-  bool NoEvidence = Reason == ConfigResponse::Outcome::HistoryGone ||
-                    (Reason == ConfigResponse::Outcome::Failed && Suspended);
-  if (NoEvidence)
+/// Calls show that the service is away only if it refused them, or gave no
+/// response on a connection of their own while this process was running. Behind
+/// an impaired host, calls fail although the service works.
+void GossipNode::Impl::readFailed(MonoTime Now,
+                                  const ConfigResponse &Response) {
+  bool HistoryGone = Response.Outcome_ == ConfigResponse::Outcome::HistoryGone;
+  if (Response.FailingSince_ || HistoryGone)
+    IsReader_ = false;
+  if (!Response.FailingSince_)
+    return;
+  bool Suspended = *Response.FailingSince_ < RunningSince_ ||
+                   Now - LastTick_ > SuspendThreshold;
+  if (Response.Outcome_ == ConfigResponse::Outcome::Failed && Suspended)
     return;
-  bool Refused = Reason == ConfigResponse::Outcome::Refused;
-  Outages_.recordOwnFailure(Refused ? Now : SentAt, Now);
+  Outages_.recordOwnFailure(*Response.FailingSince_, Now);
   if (!impaired())
     noteFailure(Now, Now);
 }
--- a/src/gossip-impl.h
+++ b/src/gossip-impl.h
@@ -126,8 +126,7 @@
                      MonoTime AsOf);
   void staleListRead(MonoTime Now, const ConfigResponse &Response);
   void partialListRead(MonoTime Now, const ConfigResponse &Response);
-  void readFailed(MonoTime Now, ConfigResponse::Outcome Reason,
-                  MonoTime SentAt);
+  void readFailed(MonoTime Now, const ConfigResponse &Response);
   void listReadStarted(MonoTime Now);
   void warn(MonoTime Now, const UpstreamWarning &M);
   void setLeaving(MonoTime Now);
--- a/src/gossip.cc
+++ b/src/gossip.cc
@@ -303,9 +303,8 @@
 void GossipNode::warn(MonoTime Now, const UpstreamWarning &M) {
   Impl_->warn(Now, M);
 }
-void GossipNode::readFailed(MonoTime Now, ConfigResponse::Outcome Reason,
-                            MonoTime SentAt) {
-  Impl_->readFailed(Now, Reason, SentAt);
+void GossipNode::readFailed(MonoTime Now, const ConfigResponse &Response) {
+  Impl_->readFailed(Now, Response);
 }
 void GossipNode::listReadStarted(MonoTime Now) { Impl_->listReadStarted(Now); }
 void GossipNode::staleListRead(MonoTime Now, const ConfigResponse &Response) {
--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -47,18 +47,21 @@
       : Socket_(Context), Timer_(Context), Server_(toAsio(Server)),
         Host_(formatEndpoint(Server)) {}
 
-  void get(const HttpRequest &Request,
-           std::chrono::steady_clock::time_point Deadline, Handler OnResponse) {
+  void get(const HttpRequest &Request, Handler OnResponse) {
     OnResponse_ = std::move(OnResponse);
     Request_ = "GET " + encodeTarget(Request) + " HTTP/1.1\r\nHost: " + Host_ +
                "\r\n\r\n";
     ++RequestId_;
-    FailAt_ = Deadline;
-    armTimer();
     // The timer that closes it may be late.
     if (std::chrono::steady_clock::now() >= IdleUntil_)
       closeConnection();
     IsReused_ = Socket_.is_open();
+    FailAt_ = IsReused_
+                  ? std::min(Request.Deadline_, Request.PersistentDeadline_)
+                  : Request.Deadline_;
+    NewConnectionFailAt_ = Request.Deadline_;
+    ConnectedSince_.reset();
+    armTimer();
     if (IsReused_)
       send();
     else
@@ -97,12 +100,16 @@
       if (Self->FailAt_ > std::chrono::steady_clock::now())
         Self->armTimer();
       else
-        Self->fail({HttpFailure::Kind::NoResponse,
-                    "timed out waiting for the response"});
+        Self->fail(HttpFailure::Kind::NoResponse,
+                   Self->ConnectedSince_
+                       ? "timed out waiting for the response"
+                       : "timed out on a connection that served earlier "
+                         "requests");
     });
   }
 
   void connect() {
+    ConnectedSince_ = std::chrono::steady_clock::now();
     Socket_.async_connect(
         {Server_.address(), Server_.port()}, guard([](Impl &Self) {
           asio::error_code Ignored;
@@ -147,8 +154,8 @@
       if (Error == http::error::need_more || Consumed == 0)
         break;
       if (Error)
-        return fail({HttpFailure::Kind::Unreadable,
-                     "invalid HTTP response: " + Error.message()});
+        return fail(HttpFailure::Kind::Unreadable,
+                    "invalid HTTP response: " + Error.message());
     }
     Unparsed_.erase(0, Parsed);
     if (Parser_->is_done())
@@ -170,13 +177,17 @@
   /// about whether it answers. The request is sent once more on a new one.
   void connectionFailed(const std::string &Reason) {
     if (!IsReused_)
-      return fail({HttpFailure::Kind::NoResponse, Reason});
+      return fail(HttpFailure::Kind::NoResponse, Reason);
     IsReused_ = false;
     closeConnection();
+    FailAt_ = NewConnectionFailAt_;
     connect();
   }
 
-  void fail(const HttpFailure &Failure) {
+  void fail(HttpFailure::Kind Kind, const std::string &Reason) {
+    HttpFailure Failure{Kind, Reason, std::nullopt};
+    if (Kind == HttpFailure::Kind::NoResponse)
+      Failure.UnansweredSince_ = ConnectedSince_;
     Handler Done = std::move(OnResponse_);
     endRequest(true);
     Done(std::nullopt, Failure);
@@ -205,6 +216,11 @@
   asio::ip::tcp::socket Socket_;
   asio::steady_timer Timer_;
   std::chrono::steady_clock::time_point FailAt_;
+  std::chrono::steady_clock::time_point
+      NewConnectionFailAt_; ///< On a new connection.
+  /// When a connection was opened for the current request; empty if it uses an
+  /// earlier one.
+  std::optional<std::chrono::steady_clock::time_point> ConnectedSince_;
   asio::ip::udp::endpoint Server_;
   std::string Host_;
   std::string Request_;
@@ -222,10 +238,8 @@
 HttpClient::HttpClient(asio::io_context &Context, const Endpoint &Server)
     : Impl_(std::make_shared<Impl>(Context, Server)) {}
 HttpClient::~HttpClient() { Impl_->close(); }
-void HttpClient::get(const HttpRequest &Request,
-                     std::chrono::steady_clock::time_point Deadline,
-                     Handler OnResponse) {
-  Impl_->get(Request, Deadline, std::move(OnResponse));
+void HttpClient::get(const HttpRequest &Request, Handler OnResponse) {
+  Impl_->get(Request, std::move(OnResponse));
 }
 
 } // namespace thymewall::detail
--- a/src/http-client.h
+++ b/src/http-client.h
@@ -22,6 +22,11 @@
   std::string Path_;
   /// Names and values of the query's parameters.
   std::vector<std::pair<std::string, std::string>> Query_;
+  /// The response must begin by this time and then arrive without a long pause.
+  std::chrono::steady_clock::time_point Deadline_{};
+  /// The same on a connection that served earlier requests, if sooner.
+  std::chrono::steady_clock::time_point PersistentDeadline_ =
+      std::chrono::steady_clock::time_point::max();
 };
 
 /// Returns the request target as it is sent. A server that decodes it gets the
@@ -41,6 +46,10 @@
   };
   Kind Kind_ = Kind::NoResponse;
   std::string Reason_;
+  /// Since when a connection that was opened for this request has given no
+  /// response. Empty if an earlier connection was used: one that goes silent
+  /// says nothing about the server.
+  std::optional<std::chrono::steady_clock::time_point> UnansweredSince_;
 };
 
 class HttpClient {
@@ -60,12 +69,10 @@
   ~HttpClient();
 
   /// Sends a request and later calls \p OnResponse once, never before this
-  /// function returns. The response must begin by \p Deadline and then arrive
-  /// without a long pause. The previous request must have completed. The next
+  /// function returns. The previous request must have completed. The next
   /// request after a failure opens a new connection, and so does a request
   /// whose persistent connection the server closes before it answers.
-  void get(const HttpRequest &Request,
-           std::chrono::steady_clock::time_point Deadline, Handler OnResponse);
+  void get(const HttpRequest &Request, Handler OnResponse);
 
 private:
   class Impl;
--- a/src/packet-process-gossip.cc
+++ b/src/packet-process-gossip.cc
@@ -37,7 +37,7 @@
   if (Stale)
     Gossip_.staleListRead(Now, Response);
   else if (!Done)
-    Gossip_.readFailed(Now, Response.Outcome_, ConfigReader_.sentAt());
+    Gossip_.readFailed(Now, Response);
   else if (!Gossip_.readSucceeded(Now, Response, ConfigReader_.completeAt()))
     ConfigReader_.requestList();
   runDueWork();
--- a/test/config-reader-test.cc
+++ b/test/config-reader-test.cc
@@ -16,9 +16,14 @@
   ConfigResponse Result;
   Result.Outcome_ = What;
   Result.Batch_.Through_ = Through;
+  if (What == Outcome::Failed)
+    Result.FailingSince_ = at(0ms);
   return Result;
 }
 
+/// The result of a call on an earlier connection, which has gone silent.
+ConfigResponse connectionLoss() { return {}; }
+
 /// A response with one change.
 ConfigResponse withChange(Revision Through) {
   ConfigResponse Result = response(Outcome::Done, Through);
@@ -281,3 +286,45 @@
   CHECK(PauseOf(0.5, 40) == 2500ms); // 8 calls a second
   CHECK(PauseOf(0.99, 9) <= ConfigReader::InitialBackoff);
 }
+
+// Silence of an idle or failed connection must not look like an outage, nor
+// take as long.
+TEST_CASE("a watch whose connection went silent is followed by one that is "
+          "answered at once") {
+  for (std::size_t FleetSize : {std::size_t{1}, std::size_t{295}}) {
+    ConfigReader Reader = started();
+    auto Watch = Reader.next(at(10ms), {});
+    REQUIRE(Watch);
+    CHECK(Watch->PersistentGiveUpAt_ ==
+          Watch->WaitUntil_ + ConfigReader::PersistentResponseTimeout);
+    CHECK(Watch->PersistentGiveUpAt_ < Watch->GiveUpAt_);
+    Reader.answered(at(910ms), connectionLoss(), FleetSize);
+    CHECK(Reader.dueAt({}) == at(910ms));
+    auto Second = Reader.next(at(910ms), {});
+    REQUIRE(Second);
+    CHECK(Second->Kind_ == Kind::Watch);
+    CHECK(Second->After_ == 5);
+    CHECK(Second->WaitUntil_ == at(910ms));
+    Reader.answered(at(914ms), response(Outcome::Done, 5), FleetSize);
+    CHECK(Reader.completeAt() >= at(910ms));
+    MonoTime Due = Reader.dueAt({});
+    auto Third = Reader.next(Due, {});
+    REQUIRE(Third);
+    CHECK(Third->WaitUntil_ == Due + ConfigReader::WatchTimeout);
+  }
+}
+
+// Calls must not multiply when the service itself is slow or away.
+TEST_CASE("a list whose connection went silent and a call that failed on a new "
+          "one wait before they are repeated") {
+  ConfigReader Starting(0);
+  REQUIRE(Starting.next(at(0ms), {}));
+  Starting.answered(at(1000ms), connectionLoss(), 1);
+  CHECK(Starting.dueAt({}) > at(1000ms));
+  ConfigReader Reader = started();
+  REQUIRE(Reader.next(at(10ms), {}));
+  Reader.answered(at(910ms), connectionLoss(), 1);
+  REQUIRE(Reader.next(at(910ms), {}));
+  Reader.answered(at(1910ms), response(Outcome::Failed), 1);
+  CHECK(Reader.dueAt({}) > at(1910ms));
+}
--- a/test/gossip-fleet.cc
+++ b/test/gossip-fleet.cc
@@ -11,6 +11,8 @@
 constexpr Micros LinkDelay = 1ms;
 constexpr Micros ServiceDelay = 4ms;
 constexpr Micros TickInterval = 250ms;
+/// As `HttpClient::MaxIdleTime`.
+constexpr Micros MaxIdleTime = 1s;
 
 /// Interval at which a simulated watch checks for changes.
 constexpr Micros WatchPollInterval = 5ms;
@@ -150,6 +152,13 @@
   }
 }
 
+void GossipFleet::silenceServiceConnections() {
+  for (Node &N : Nodes_) {
+    N.CallsLostBefore_ = Events_.now();
+    N.ConnectionSilent_ = true;
+  }
+}
+
 void GossipFleet::blackholeConnections() {
   for (Node &N : Nodes_) {
     for (const auto &[Link, Peer] : N.Links_)
@@ -346,9 +355,13 @@
       });
     });
   };
-  bool Lost = Began < Nodes_[Which].CallsLostBefore_;
-  if (Nodes_[Which].Unresponsive_ || Lost)
-    return Reply(Request.GiveUpAt_ - Events_.now(), {});
+  bool OnSilent =
+      Nodes_[Which].ConnectionSilent_ && Began < Nodes_[Which].ConnectedUntil_;
+  bool Lost = Began < Nodes_[Which].CallsLostBefore_ || OnSilent;
+  if (Nodes_[Which].Unresponsive_ || Lost) {
+    auto [Response, EndsAt] = unanswered(Which, Request, Began);
+    return Reply(std::max(EndsAt - Events_.now(), Micros(0)), Response);
+  }
   std::size_t &CallsToRefuse = Nodes_[Which].CallsToRefuse_;
   if (Nodes_[Which].Refused_ || ServiceDown_ || CallsToRefuse > 0) {
     CallsToRefuse -= std::min<std::size_t>(CallsToRefuse, 1);
@@ -376,6 +389,21 @@
   });
 }
 
+/// As the HTTP client: only silence on a new connection says something about
+/// the service.
+std::pair<ConfigResponse, MonoTime>
+GossipFleet::unanswered(std::size_t Which, const ConfigRequest &Request,
+                        MonoTime Began) {
+  ConfigResponse Response;
+  bool Persistent = Began < Nodes_[Which].ConnectedUntil_;
+  Nodes_[Which].ConnectedUntil_ = MonoTime{};
+  Nodes_[Which].ConnectionSilent_ = false;
+  if (!Persistent)
+    Response.FailingSince_ = Began;
+  bool Short = Persistent && Request.Kind_ == ConfigRequest::Kind::Watch;
+  return {Response, Short ? Request.PersistentGiveUpAt_ : Request.GiveUpAt_};
+}
+
 ConfigResponse
 GossipFleet::currentResponse(const ConfigRequest &Request) const {
   ConfigResponse Response;
@@ -446,15 +474,17 @@
   return Batch;
 }
 
-void GossipFleet::handleResponse(std::size_t Which,
-                                 const ConfigResponse &Response) {
+void GossipFleet::handleResponse(std::size_t Which, ConfigResponse Response) {
   Node &N = Nodes_[Which];
+  if (Response.Outcome_ == ConfigResponse::Outcome::Refused)
+    Response.FailingSince_ = Events_.now();
   N.Reader_->answered(Events_.now(), Response, N.Gossip_->callers());
+  if (Response.Outcome_ != ConfigResponse::Outcome::Failed)
+    N.ConnectedUntil_ = Events_.now() + MaxIdleTime;
   if (Response.Outcome_ == ConfigResponse::Outcome::Stale)
     N.Gossip_->staleListRead(Events_.now(), Response);
   else if (Response.Outcome_ != ConfigResponse::Outcome::Done)
-    N.Gossip_->readFailed(Events_.now(), Response.Outcome_,
-                          N.Reader_->sentAt());
+    N.Gossip_->readFailed(Events_.now(), Response);
   else if (!N.Gossip_->readSucceeded(Events_.now(), Response,
                                      N.Reader_->completeAt()))
     N.Reader_->requestList();
--- a/test/gossip-fleet.h
+++ b/test/gossip-fleet.h
@@ -94,6 +94,8 @@
   }
   /// Drops all traffic of open links and calls in flight; new ones work.
   void blackholeConnections();
+  /// Open connections to the configuration service go silent; new ones work.
+  void silenceServiceConnections();
   void kill(std::size_t Which);
   void restart(std::size_t Which);
 
@@ -130,6 +132,9 @@
     std::map<LinkId, std::pair<std::size_t, LinkId>> Links_;
     std::set<LinkId> DeadLinks_;
     MonoTime CallsLostBefore_{}; ///< Earlier calls get no response.
+    /// Until when a call uses the connection of the calls before it.
+    MonoTime ConnectedUntil_{};
+    bool ConnectionSilent_ = false;               ///< That connection.
     std::vector<std::function<void()>> Deferred_; ///< While suspended.
     std::vector<UpstreamWarning> Warnings_;
     std::set<std::string> Evacuated_;
@@ -159,12 +164,15 @@
   void pollReader(std::size_t Which);
   void tick(std::size_t Which);
   void serve(std::size_t Which, const ConfigRequest &Request, MonoTime Began);
+  /// Returns the result of a call without a response, and when it ends.
+  std::pair<ConfigResponse, MonoTime>
+  unanswered(std::size_t Which, const ConfigRequest &Request, MonoTime Began);
   ConfigResponse currentResponse(const ConfigRequest &Request) const;
   EvacuationBatch currentEvacuations(const ConfigRequest &Request,
                                      Revision End) const;
   void keepReadParts(const ConfigRequest &Request,
                      ConfigResponse &Response) const;
-  void handleResponse(std::size_t Which, const ConfigResponse &Response);
+  void handleResponse(std::size_t Which, ConfigResponse Response);
   void checkConfirmation(std::size_t Which, MonoTime AsOf);
 
   std::vector<Node> Nodes_;
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -109,7 +109,7 @@
   asio::steady_timer Timer(Context);
   std::vector<std::string> Results;
   std::function<void()> Call = [&] {
-    Client.get({"/x", {}}, std::chrono::steady_clock::now() + 300ms,
+    Client.get({"/x", {}, std::chrono::steady_clock::now() + 300ms},
                [&](std::optional<HttpResponse> A, const HttpFailure &Failure) {
                  CHECK(A.has_value() == Failure.Reason_.empty());
                  Results.push_back(A ? std::to_string(A->Status_) + " " +
@@ -208,15 +208,16 @@
   std::string All;
   for (int C = 0; C < 256; ++C)
     All += static_cast<char>(C);
-  std::string Target = encodeTarget({"/a b" + All, {{All, "1"}, {"x", All}}});
+  std::string Target =
+      encodeTarget({"/a b" + All, {{All, "1"}, {"x", All}}, {}});
   for (char C : Target)
     CHECK((C > ' ' && C < 0x7f));
   CHECK(std::count(Target.begin(), Target.end(), '?') == 1);
   CHECK(std::count(Target.begin(), Target.end(), '&') == 1);
   CHECK(std::count(Target.begin(), Target.end(), '=') == 2);
-  CHECK(encodeTarget({"/a/b", {{"after", "a b+%&\xff"}, {"k", ""}}}) ==
+  CHECK(encodeTarget({"/a/b", {{"after", "a b+%&\xff"}, {"k", ""}}, {}}) ==
         "/a/b?after=a%20b%2B%25%26%FF&k=");
-  CHECK(encodeTarget({"/a", {}}) == "/a");
+  CHECK(encodeTarget({"/a", {}, {}}) == "/a");
 }
 
 TEST_CASE("successive requests reuse the connection") {
@@ -297,3 +298,31 @@
     "the server closes the connection on invalid HTTP without a response") {
   CHECK(sendRaw(handlePage, {"\x01\x02\x03\r\n\r\n"}).empty());
 }
+
+// Silence of an earlier connection says nothing about the server.
+TEST_CASE("a failure tells whether a connection of its own went silent") {
+  asio::io_context Context;
+  ScriptedServer Server(Context, {ok("a")});
+  HttpClient Client(Context, Server.at());
+  std::vector<HttpFailure> Failures;
+  std::function<void()> Call = [&] {
+    auto Begin = std::chrono::steady_clock::now();
+    Client.get({"/x", {}, Begin + 400ms, Begin + 50ms},
+               [&, Begin](const auto &, const HttpFailure &Failure) {
+                 Failures.push_back(Failure);
+                 if (Failures.size() == 3) {
+                   CHECK(*Failure.UnansweredSince_ >= Begin);
+                   return Context.stop();
+                 }
+                 Call();
+               });
+  };
+  Call();
+  Context.run();
+  REQUIRE(Failures.size() == 3);
+  CHECK(Failures[0].Reason_.empty()); // answered
+  CHECK_FALSE(Failures[1].Reason_.empty());
+  CHECK_FALSE(Failures[1].UnansweredSince_);
+  CHECK(Failures[2].UnansweredSince_);
+  CHECK(Server.connections() == 2);
+}
--- a/test/service-outage-test.cc
+++ b/test/service-outage-test.cc
@@ -149,3 +149,21 @@
     CHECK(Fleet.alwaysOpens(SurvivorFleet::Staying, 3s));
   }
 }
+
+// One-sided silence must not keep upstreams that have ended in use.
+TEST_CASE("connections of the service that go silent are no outage of it") {
+  for (std::size_t Count : {1U, 2U, 8U, 13U, 24U})
+    for (std::size_t Rank : ranksOf(Count))
+      for (const Silencing &Way : silencingsAndNone())
+        for (Micros Phase : {0ms, 180ms, 360ms}) {
+          SurvivorFleet Fleet(Count, std::min(Rank, Count - 1));
+          Fleet.run(5s + Phase);
+          Fleet.gossip().silenceServiceConnections();
+          Fleet.silencePeers(Way);
+          Fleet.run(100ms);
+          Fleet.remove(SurvivorFleet::Leaving);
+          INFO(Way.Name_, ", balancers: ", Count, ", rank: ", Rank,
+               ", phase: ", Phase.count());
+          CHECK(Fleet.latestOpening(SurvivorFleet::Leaving, 6s) <= ServesOn);
+        }
+}
