Fail at once on a response that is not HTTP

A response whose first line is no HTTP status line was waited for until the timeout, and then counted as silence of the service.

Cause: the parser reports an error with no bytes consumed, which was taken for "more bytes are needed" before the error was looked at.

Change: any error other than need_more ends the request as unreadable, which is no evidence that the service is away.

http-test, "a response that can't be read is no silence of the server": 2 checks failed before, none now.

--- a/src/http-client.cc
+++ b/src/http-client.cc
@@ -151,11 +151,11 @@
                                                  Unparsed_.size() - Parsed),
                        Error);
       Parsed += Consumed;
-      if (Error == http::error::need_more || Consumed == 0)
-        break;
-      if (Error)
+      if (Error && Error != http::error::need_more)
         return fail(HttpFailure::Kind::Unreadable,
                     "invalid HTTP response: " + Error.message());
+      if (Error || Consumed == 0)
+        break;
     }
     Unparsed_.erase(0, Parsed);
     if (Parser_->is_done())
--- a/test/http-test.cc
+++ b/test/http-test.cc
@@ -326,3 +326,23 @@
   CHECK(Failures[2].UnansweredSince_);
   CHECK(Server.connections() == 2);
 }
+
+TEST_CASE("a response that can't be read is no silence of the server") {
+  for (const std::string &Response :
+       {std::string("what is this\r\n\r\n"),
+        "HTTP/1.1 200 OK\r\nContent-Length: " +
+            std::to_string(HttpClient::MaxBodyBytes + 1) + "\r\n\r\n"}) {
+    asio::io_context Context;
+    ScriptedServer Server(Context, {Response});
+    HttpClient Client(Context, Server.at());
+    HttpFailure Result;
+    Client.get({"/x", {}, std::chrono::steady_clock::now() + 400ms},
+               [&](const auto &, const HttpFailure &Failure) {
+                 Result = Failure;
+                 Context.stop();
+               });
+    Context.run();
+    CHECK(Result.Kind_ == HttpFailure::Kind::Unreadable);
+    CHECK_FALSE(Result.UnansweredSince_);
+  }
+}
