Read the list after a watch that is too long or can't be decoded

Cause: each balancer repeated the same watch from the same revision, as after a call without a response. A watch has no limit on its length, and the one on a response has to exist.

Ruled out: a larger limit (the sum of the entries has none), and a watch of fewer keys (the store's prefixes don't exclude keys of that form).

Change: a response that is too long or can't be decoded, and an error other than 429 and 503, is "unreadable". After an unreadable watch the reader reads the list at once, whose pages are bounded and can be left out, and watches from its revision. It stays the reader, and it reports no failed call. After an unreadable list it waits as after a failure.

Ways compared: (1) the list, as after 410; (2) a watch of a shorter time. Nothing bounds what comes in a shorter time, and what is in the history comes again.

--- a/src/config-reader.cc
+++ b/src/config-reader.cc
@@ -100,10 +100,10 @@
   case ConfigResponse::Outcome::Stale:
     return;
   case ConfigResponse::Outcome::HistoryGone:
+  case ConfigResponse::Outcome::Unreadable:
     ListNeeded_ = true;
     return;
   case ConfigResponse::Outcome::Refused:
-  case ConfigResponse::Outcome::Unreadable:
   case ConfigResponse::Outcome::Failed:
     return;
   }
@@ -136,8 +136,12 @@
   }
   if (Response.Outcome_ == ConfigResponse::Outcome::Stale)
     return peerWait(Response);
+  // A list, whose pages are bounded and can be left out, gets past changes that
+  // no watch can bring.
+  bool WatchUnreadable =
+      Response.Outcome_ == ConfigResponse::Outcome::Unreadable && !ListNeeded_;
   if (Response.Outcome_ == ConfigResponse::Outcome::HistoryGone ||
-      ConnectionLost_)
+      WatchUnreadable || ConnectionLost_)
     return Micros(0);
   return delayAfterFailure(Now, FleetSize);
 }
--- a/test/config-reader-test.cc
+++ b/test/config-reader-test.cc
@@ -328,3 +328,30 @@
   Reader.answered(at(1910ms), response(Outcome::Failed), 1);
   CHECK(Reader.dueAt({}) > at(1910ms));
 }
+
+// Otherwise the fleet stops following as long as the changes are in the
+// history.
+TEST_CASE("a watch that can't be read is followed by a list at once, a list "
+          "after a pause") {
+  ConfigReader Reader = started();
+  REQUIRE(Reader.next(at(10ms), {}));
+  Reader.answered(at(20ms), response(Outcome::Unreadable), 295);
+  CHECK(Reader.dueAt({}) == at(20ms));
+  auto List = Reader.next(at(20ms), {});
+  REQUIRE(List);
+  CHECK(List->Kind_ == Kind::List);
+  SUBCASE("the list is read") {
+    Reader.answered(at(50ms), withChange(9), 295);
+    auto Watch = Reader.next(Reader.dueAt({}), {});
+    REQUIRE(Watch);
+    CHECK(Watch->Kind_ == Kind::Watch);
+    CHECK(Watch->After_ == 9);
+  }
+  SUBCASE("the list can't be read") {
+    Reader.answered(at(50ms), response(Outcome::Unreadable), 1);
+    CHECK(Reader.dueAt({}) > at(50ms));
+    auto Again = Reader.next(Reader.dueAt({}), {});
+    REQUIRE(Again);
+    CHECK(Again->Kind_ == Kind::List);
+  }
+}
--- a/test/paged-store.h
+++ b/test/paged-store.h
@@ -79,6 +79,7 @@
     Request.After_ = After;
     Request.WaitUntil_ = detail::monoNow();
     Request.GiveUpAt_ = Request.WaitUntil_ + ConfigReader::ResponseTimeout;
+    Request.PersistentGiveUpAt_ = Request.GiveUpAt_;
     std::optional<ConfigResponse> Result;
     Client_(Request, [&](const ConfigResponse &Response) {
       Result = Response;
--- a/test/store-client-test.cc
+++ b/test/store-client-test.cc
@@ -234,3 +234,60 @@
     CHECK_FALSE(Response.Parts_);
   }
 }
+
+// Entries of another writer whose sum is longer than any response that is
+// accepted must not keep the fleet from following.
+TEST_CASE("a watch that is too long or can't be decoded is told from a service "
+          "that is away") {
+  PagedStore Store;
+  putOnePerDigit(Store);
+  for (int I = 0; I < 9; ++I)
+    Store.put("servers/other-" + std::to_string(I), std::string(1 << 20, 'x'));
+  SUBCASE("too long") {}
+  SUBCASE("not JSON") {
+    Store.setFault(
+        [&](const std::string &Path,
+            const PagedStore::Query &) -> std::optional<detail::HttpPage> {
+          if (Path == "/thymewall/kv-watch")
+            return detail::HttpPage{200, "application/json", "{\"events\":["};
+          return std::nullopt;
+        });
+  }
+  ConfigResponse Watch = Store.call(Kind::Watch);
+  CHECK(Watch.Outcome_ == Outcome::Unreadable);
+  CHECK_FALSE(Watch.FailingSince_);
+  Store.setPageSize(2); // as pages are bounded in bytes
+  ConfigResponse List = Store.call(Kind::List);
+  CHECK(List.Outcome_ == Outcome::Done);
+  CHECK(List.Batch_.Through_ == Store.revision());
+  CHECK(upstreamsOf(List).size() == 16);
+  Store.setFault(nullptr);
+  ConfigResponse Next = Store.call(Kind::Watch, List.Batch_.Through_);
+  CHECK(Next.Outcome_ == Outcome::Done);
+}
+
+TEST_CASE("errors of the store are refusals, but a watch may be too long for "
+          "it") {
+  struct Case {
+    unsigned Status_;
+    Outcome Watch_;
+  };
+  for (const Case &C : {Case{429, Outcome::Refused},
+                        {503, Outcome::Refused},
+                        {410, Outcome::HistoryGone},
+                        {413, Outcome::Unreadable},
+                        {500, Outcome::Unreadable}}) {
+    PagedStore Store;
+    Store.setFault(
+        [&](const std::string &,
+            const PagedStore::Query &) -> std::optional<detail::HttpPage> {
+          return detail::HttpPage{C.Status_, "text/plain", ""};
+        });
+    CAPTURE(C.Status_);
+    ConfigResponse Watch = Store.call(Kind::Watch);
+    CHECK(Watch.Outcome_ == C.Watch_);
+    CHECK(Watch.FailingSince_.has_value() == (C.Status_ != 410));
+    if (C.Status_ != 410)
+      CHECK(Store.call(Kind::List).Outcome_ == Outcome::Refused);
+  }
+}
