A key that only contains an upstream's identifier stands for no upstream

What callers see: another writer's unreadable entry under a key such as servers/copy-of-i- removes the living upstream i- from use, until it publishes something new; a readable one gives it another address.

Cause: the identifier was the hexadecimal digits after the last dash of any key, so that many keys stood for one upstream.

Ways compared: only "i-", as where parts of the list are read, would also tell "j-" apart, but takes deployments with another name out of service; the form of the key stands. What remains: another name or leading zeros before the same digits.

--- a/test/published-test.cc
+++ b/test/published-test.cc
@@ -160,6 +160,32 @@
   CHECK(Response.Changes_[1].Incarnation_ == Incarnation{4});
 }
 
+// Otherwise a copy under another key removes the living upstream.
+TEST_CASE("a key that only contains an identifier stands for no upstream") {
+  for (const char *Id :
+       {"copy-of-i-7f", "i-7f-2", "i-7f-old", "i--7f", "-7f", "i-", "", "i-7F",
+        "I-7f", "i 7f", "i-7f ", "i- 7f", "i-0x7f", "i-+7f", "x/i-7f", "i-7g",
+        "i.7f", "i-1ffffffffffffffff"}) {
+    StoreResponse Response = decodeResponse(
+        {{"items",
+          {makeItem(std::string("servers/") + Id, "unreadable", 3),
+           makeItem(std::string("servers/") + Id, upstreamValue(), 4)}},
+         {"store-revision", 5}});
+    CAPTURE(Id);
+    CHECK(Response.Changes_.empty());
+    CHECK(Response.RefusedItems_.size() == 2);
+  }
+  for (const char *Id : {"i-7f", "7f", "node7-7f", "i-00007f"}) {
+    StoreResponse Response = decodeResponse(
+        {{"items",
+          {makeItem(std::string("servers/") + Id, upstreamValue(), 3)}},
+         {"store-revision", 5}});
+    CAPTURE(Id);
+    REQUIRE(Response.Changes_.size() == 1);
+    CHECK(Response.Changes_[0].Incarnation_ == Incarnation{0x7f});
+  }
+}
+
 TEST_CASE("decodes the events of a watch") {
   Json Gone = {
       {"key-file", "servers/i-ab"}, {"revision", 413}, {"is-gone", true}};
