Refuse entries that no upstream can have: port 0, very long ones

What callers see: another writer's entry with port 0 and a known service gets openings, each of which waits 40 ms for an answer before it moves on. An entry of a megabyte stalls the balancer that reads it: parsing 1 MB of nested lists takes 48 ms of a whole core here, 1.6 s on 0.03 of a core, each time that it is read. The name of a data hall of that length is kept by and sent to every balancer; eight of them exceed a message between peers.

Cause: the entry's fields were checked for their type, the port and the lengths weren't.

Change: port 0 is no address (in routes, too); a data hall's name has at most 255 bytes; an entry of more than 64 KiB is refused before it is parsed. Usual entries have some 200 bytes. Entries up to the bound may have unknown fields.

Ways compared: a limit on the depth of nesting needs the parse that it is to save. The length stands.

published-test, "an address without a port ..." and "entries of an unusual length ...": both fail before, both pass now.

--- a/test/published-test.cc
+++ b/test/published-test.cc
@@ -81,7 +81,11 @@
   if (Field == "state")
     Values.insert(Values.end(), {"READY", "resting", "ready ", ""});
   if (Field == "address")
-    Values.insert(Values.end(), {"10.0.0.1", "host:80", "10.0.0.1:70000", ""});
+    Values.insert(Values.end(), {"10.0.0.1", "host:80", "10.0.0.1:70000", "",
+                                 "10.0.0.1:0", "10.0.0.1:-1",
+                                 "10.0.0.1:", "10.0.0.1:99999999999999999999"});
+  if (Field == "zone")
+    Values.push_back(std::string(256, 'z'));
   return rc::gen::elementOf(Values);
 }
 
@@ -254,6 +258,52 @@
             nameId("index"))) == RoutingTable::HighestColdFlowsPerSecond);
 }
 
+TEST_CASE("an address without a port and a name of unusual length name no "
+          "upstream") {
+  for (const auto &[Field, Value] :
+       std::vector<std::pair<const char *, std::string>>{
+           {"address", "10.0.0.1:0"},
+           {"address", "10.0.0.1:-1"},
+           {"address", "10.0.0.1:"},
+           {"address", "10.0.0.1:65536"},
+           {"zone", std::string(256, 'z')}}) {
+    Json Entry = upstreamValue();
+    Entry[Field] = Value;
+    StoreResponse Response =
+        decodeResponse({{"events", {makeItem("servers/i-1", Entry, 1)}},
+                        {"store-revision", 3}});
+    INFO(Field, ": ", Value);
+    REQUIRE(Response.Changes_.size() == 1);
+    CHECK_FALSE(Response.Changes_[0].Entry_);
+  }
+  Json Entry = upstreamValue();
+  Entry["zone"] = std::string(255, 'z');
+  CHECK(decodeResponse({{"events", {makeItem("servers/i-1", Entry, 1)}},
+                        {"store-revision", 3}})
+            .Changes_[0]
+            .Entry_);
+  Json Document = routingDocument();
+  Document["routes"][1]["path-prefix"] = "/0/";
+  CHECK(decodeConfiguration(Document).Routing_->Addresses_.size() == 1);
+}
+
+// One entry must cost a balancer with little processor time nothing, nor be
+// copied to all peers.
+TEST_CASE("entries of an unusual length are refused without a look at them") {
+  Json Long = upstreamValue();
+  for (std::size_t Extra : {std::size_t{1000}, std::size_t{1} << 20}) {
+    Long["unknown"] = std::string(Extra, 'x');
+    StoreResponse Response =
+        decodeResponse({{"events",
+                         {makeItem("servers/i-1", Long, 1),
+                          makeItem("servers/i-2", upstreamValue(), 2)}},
+                        {"store-revision", 3}});
+    REQUIRE(Response.Changes_.size() == 2);
+    CHECK(Response.Changes_[0].Entry_.has_value() == (Extra == 1000));
+    CHECK(Response.Changes_[1].Entry_.has_value());
+  }
+}
+
 TEST_CASE("decodes evacuated data halls") {
   Json Gone = {{"key-file", "op/evacuate/ams-hall-b"},
                {"revision", 23},
