Leave a living upstream alone if its entry names an unknown service

Cause: the balancer took the entry's address for the upstream's. Packets of its open flows went there, the next retransmission asked for a check, which was refused there, and the refusal proved the upstream dead. Whether a table names the service was only asked where new flows are placed.

Ruled out: the check itself; a refused connection at an upstream's own address is proof.

Change: an entry of a service that no table names is none to use. It is set aside until a table names the service (a new service's upstreams may come before its table), and a listed upstream goes as with an entry that can't be read: no new flows, open ones are forwarded to its own address. Gauge upstreams_of_unnamed_services.

Ways compared: (1) set aside (stands); (2) keep the row and ignore only the address. With (2) a balancer that starts in between lists the upstream at the other address and resets its flows there; its test ("a balancer that starts with an entry of an unnamed service ...") fails with (2).

What remains: an entry under a living upstream's identifier with a known service and another address can't be told from its own.

--- a/include/thymewall/packet-balancer.h
+++ b/include/thymewall/packet-balancer.h
@@ -223,6 +223,8 @@
   std::size_t Flows_ = 0;
   std::size_t MemoryBytes_ = 0;
   std::vector<std::string> EvacuatedHalls_;
+  /// Published upstreams of services that the routing table doesn't name.
+  std::size_t UnnamedUpstreams_ = 0;
   std::vector<UpstreamStatus> Upstreams_;
   std::vector<ApertureStatus> Apertures_; ///< Services placed by apertures.
   std::vector<AdmissionStatus> Admission_;
--- a/src/packet-balancer-impl.h
+++ b/src/packet-balancer-impl.h
@@ -24,6 +24,7 @@
 #include "thymewall/request-rates.h"
 #include "thymewall/retry-budget.h"
 #include "unconfirmed-flows.h"
+#include "unnamed-upstreams.h"
 
 #include <deque>
 #include <set>
@@ -303,6 +304,7 @@
   void reassignFlow(detail::PacketFlowRow &Row, std::uint32_t Index);
   void addLoad(const detail::PacketFlowRow &Row);
   void subtractLoad(const detail::PacketFlowRow &Row);
+  void applyEntry(const UpstreamChange &Change, MonoTime MayReturnUntil);
   void addOrUpdate(const UpstreamChange &Change);
   void addEnded(const UpstreamChange &Change);
   void removeUpstream(const UpstreamChange &Change, MonoTime MayReturnUntil);
@@ -362,6 +364,7 @@
   UpstreamTable Upstreams_;
   std::vector<UpstreamState> UpstreamStates_; ///< Same index as `Upstreams_`.
   std::unordered_map<std::uint32_t, ServiceState> Services_;
+  detail::UnnamedUpstreams Unnamed_;
   std::set<std::string> EvacuatedHalls_;
   ColdAdmission ColdAdmission_;
   std::unordered_map<std::uint32_t, std::uint32_t> IndexOfCookie_;
--- a/src/packet-balancer-upstreams.cc
+++ b/src/packet-balancer-upstreams.cc
@@ -16,14 +16,26 @@
   for (const UpstreamChange &Change : Changes) {
     if (Change.Ended_)
       addEnded(Change);
-    else if (Change.Entry_)
-      addOrUpdate(Change);
     else
-      removeUpstream(Change, MayReturnUntil);
+      applyEntry(Change, MayReturnUntil);
   }
   BulkUpdate_ = false;
 }
 
+/// An entry of a service that no table names is none to use. It must not give a
+/// living upstream another address, to which the packets of its flows would go.
+void PacketBalancer::Impl::applyEntry(const UpstreamChange &Change,
+                                      MonoTime MayReturnUntil) {
+  Unnamed_.remove(Change.Incarnation_);
+  bool Named = Change.Entry_ &&
+               (!Routing_ || Routing_->knowsService(Change.Entry_->Service_));
+  if (Named)
+    return addOrUpdate(Change);
+  if (Change.Entry_)
+    Unnamed_.add(Change);
+  removeUpstream(Change, MayReturnUntil);
+}
+
 void PacketBalancer::Impl::addOrUpdate(const UpstreamChange &Change) {
   const UpstreamEntry &Entry = *Change.Entry_;
   Cookie UpstreamCookie = cookieOf(Entry.Incarnation_);
@@ -232,6 +244,7 @@
   S.ConfirmedAsOf_ = ConfirmedAsOf_;
   S.Flows_ = Flows_.size();
   S.MemoryBytes_ = Flows_.memoryBytes();
+  S.UnnamedUpstreams_ = Unnamed_.size();
   S.EvacuatedHalls_.assign(EvacuatedHalls_.begin(), EvacuatedHalls_.end());
   for (const auto &[UpstreamCookie, Index] : IndexOfCookie_) {
     const UpstreamState &State = UpstreamStates_[Index];
--- a/src/packet-balancer.cc
+++ b/src/packet-balancer.cc
@@ -274,6 +274,8 @@
   recordDroppedAddresses(*Table);
   Routing_ = std::move(Table);
   requestUnconfirmedReview();
+  for (const UpstreamChange &Change : Unnamed_.takeNamed(*Routing_))
+    addOrUpdate(Change);
   // Upstreams of newly named services may take over their address.
   std::vector<Endpoint> Shared;
   for (const auto &[At, Rows] : IndexesByAddress_)
--- a/src/packet-pages.cc
+++ b/src/packet-pages.cc
@@ -30,6 +30,7 @@
   std::vector<NamedValue> Result = {
       {"flows", R.Status_.Flows_},
       {"data_halls_evacuated", R.Status_.EvacuatedHalls_.size()},
+      {"upstreams_of_unnamed_services", R.Status_.UnnamedUpstreams_},
       {"table_bytes", R.Status_.MemoryBytes_},
       {"packets", C.Packets_},
       {"opened", C.Opened_},
--- a/test/upstream-address-test.cc
+++ b/test/upstream-address-test.cc
@@ -151,3 +151,72 @@
     CHECK_FALSE(B.Resets_.empty());
   }
 }
+
+// Another writer's entry must not lead the packets of open flows elsewhere.
+TEST_CASE("an entry of an unnamed service under a living upstream's identifier "
+          "leaves its flows alone") {
+  SharedAddress S;
+  RecordingBalancer &B = S.B_;
+  UpstreamChange Foreign = up(S.FirstId_);
+  Foreign.Revision_ = 6;
+  Foreign.Entry_->Service_ = ServiceId{99};
+  Foreign.Entry_->Address_ = Endpoint::v4(0x0a000063, 9);
+  auto ForwardsFlow = [&](std::chrono::milliseconds Time) {
+    Packet P = packet(1);
+    P.Acknowledges_ = true;
+    P.Cookie_ = static_cast<Cookie>(S.FirstId_);
+    P.Acknowledged_ = 2000;
+    Verdict V = B.B_.steer(at(Time), P);
+    const auto *F = std::get_if<Forward>(&V);
+    return F && F->To_ == up(S.FirstId_).Entry_->Address_;
+  };
+  REQUIRE(ForwardsFlow(50ms));
+  B.B_.applyUpstreams(at(100ms), {Foreign});
+  CHECK(ForwardsFlow(150ms));
+  CHECK_FALSE(B.takesFlows(S.FirstId_, 200ms));
+  SUBCASE("until the upstream publishes itself again") {
+    UpstreamChange Own = up(S.FirstId_);
+    Own.Revision_ = 7;
+    B.B_.applyUpstreams(at(800ms), {Own});
+    CHECK(ForwardsFlow(850ms));
+    CHECK(B.takesFlows(S.FirstId_, 900ms));
+  }
+  SUBCASE("and a routing table that names the service later uses it") {
+    auto Table = std::make_shared<RoutingTable>(*twoServiceTable(3));
+    Table->ServiceNames_[99] = "new";
+    CHECK(B.B_.status(at(300ms)).UnnamedUpstreams_ == 1);
+    B.B_.setRouting(at(400ms), Table);
+    CHECK(B.B_.status(at(500ms)).UnnamedUpstreams_ == 0);
+  }
+  SUBCASE("and it is forgotten with its removal") {
+    B.B_.applyUpstreams(at(300ms), {S.firstRemoved()});
+    CHECK(B.B_.status(at(400ms)).UnnamedUpstreams_ == 0);
+    CHECK(ForwardsFlow(500ms));
+  }
+  CHECK(B.Resets_.empty());
+  CHECK(B.Checks_.empty());
+}
+
+TEST_CASE("a balancer that starts with an entry of an unnamed service sends no "
+          "packets to its address") {
+  RecordingBalancer B;
+  B.B_.setRouting(at(0ms), twoServiceTable(2));
+  UpstreamChange Foreign = up(8);
+  Foreign.Entry_->Service_ = ServiceId{99};
+  Foreign.Entry_->Address_ = Endpoint::v4(0x0a000063, 9);
+  B.B_.applyUpstreams(at(10ms), {Foreign});
+  Packet P = packet(1);
+  P.Acknowledges_ = true;
+  P.Cookie_ = Cookie{8};
+  P.Acknowledged_ = 2000;
+  Verdict Before = B.B_.steer(at(20ms), P);
+  const auto *D = std::get_if<Dropped>(&Before);
+  REQUIRE(D);
+  CHECK(D->Error_ == ErrorKind::UnknownCookie); // it may be published yet
+  B.B_.applyUpstreams(at(30ms), {up(8)});
+  Verdict After = B.B_.steer(at(40ms), P);
+  const auto *F = std::get_if<Forward>(&After);
+  REQUIRE(F);
+  CHECK(F->To_ == up(8).Entry_->Address_);
+  CHECK(B.Resets_.empty());
+}
