--- a/test/published-configuration-test.cc
+++ b/test/published-configuration-test.cc
@@ -66,7 +66,9 @@
       {"split", Json::array()},
       {"split", {{{"backend", "index"}, {"weight", -1}}}},
       {"split", {{{"backend", 5}, {"weight", 1}}, 7}}};
-  for (const auto &[Field, Value] : Changes) {
+  for (const auto &Change : Changes) {
+    const char *Field = Change.first;
+    const Json &Value = Change.second;
     INFO(Field, ": ", Value.dump());
     Json Document = routingDocument();
     Document["routes"][1][Field] = Value;
--- a/test/published-objectives-test.cc
+++ b/test/published-objectives-test.cc
@@ -185,7 +185,9 @@
       {0, 0},     {-1, 0},       {"2000", 0},          {nullptr, 0},
       {false, 0}, {2.5, 2},      {5'000'000, 1000000}, {1e300, 1000000},
       {1, 1},     {1e6, 1000000}};
-  for (const auto &[Limit, Expected] : Limits) {
+  for (const auto &Case : Limits) {
+    const Json &Limit = Case.first;
+    std::uint32_t Expected = Case.second;
     CAPTURE(Limit.dump());
     Json Document = routingDocument();
     Document["backends"][0]["max-conns"] = Limit;
--- a/test/published-test.cc
+++ b/test/published-test.cc
@@ -260,13 +260,14 @@
 
 TEST_CASE("an address without a port and a name of unusual length name no "
           "upstream") {
-  for (const auto &[Field, Value] :
-       std::vector<std::pair<const char *, std::string>>{
+  for (const auto &Case : std::vector<std::pair<const char *, std::string>>{
            {"address", "10.0.0.1:0"},
            {"address", "10.0.0.1:-1"},
            {"address", "10.0.0.1:"},
            {"address", "10.0.0.1:65536"},
            {"zone", std::string(256, 'z')}}) {
+    const char *Field = Case.first;
+    const std::string &Value = Case.second;
     Json Entry = upstreamValue();
     Entry[Field] = Value;
     StoreResponse Response =
--- a/test/store-client-test.cc
+++ b/test/store-client-test.cc
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 using namespace thymewall;
+using namespace thymewall::platform;
 using namespace thymewall::test;
 
 namespace {
@@ -119,6 +120,30 @@
     }
 }
 
+TEST_CASE("unreadable keys in several parts in a row cost these parts only") {
+  PagedStore Store;
+  putOnePerDigit(Store);
+  // Parts 0x60 to 0x77; two of them have an upstream.
+  Store.setFault([&](const std::string &Path, const PagedStore::Query &Q)
+                     -> std::optional<detail::HttpPage> {
+    const std::string &Prefix =
+        Q.count("path-prefix") != 0 ? Q.at("path-prefix") : ConfigurationKey;
+    bool Within = Prefix.size() == 12 && Prefix >= "servers/i-60" &&
+                  Prefix <= "servers/i-77";
+    bool Above =
+        Prefix.size() < 12 &&
+        (std::string("servers/i-60").compare(0, Prefix.size(), Prefix) == 0 ||
+         Prefix == "servers/i-7");
+    if (Path != "/thymewall/kv-range" || !(Within || Above))
+      return std::nullopt;
+    return detail::HttpPage{200, "application/json", "{"};
+  });
+  ConfigResponse Response = Store.call(Kind::List);
+  CHECK(Response.Outcome_ == Outcome::Done);
+  CHECK(Response.Batch_.UnchangedParts_.count() == 24);
+  CHECK(upstreamsOf(Response).size() == 14);
+}
+
 TEST_CASE("upstreams of a part that can't be read are not taken for removed") {
   PagedStore Store;
   putOnePerDigit(Store);
